--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -45,6 +45,8 @@
 HEADER_LIMIT_BYTES = 64 * 1024
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
+FOREIGN_ANSWERS_SKIPPED = 3
+"""Answers to other requests that one exchange reads past before it gives the connection up."""
 
 
 class ConnectionFailedError(MastickeelError):
@@ -67,6 +69,16 @@
     ran = Ran.UNKNOWN
 
 
+class ForeignAnswerError(MastickeelError):
+    """Raised by the receiving side when the answer belongs to another request: it is skipped."""
+
+    code = "foreign_answer"
+    status = 502
+    title = "The answer belongs to another request."
+    remedy = "Check the endpoint: it answers requests twice or late."
+    ran = Ran.UNKNOWN
+
+
 class ExchangeTimeoutError(ExchangeBrokenError):
     """Raised when a connection was silent for longer than its limit."""
 
@@ -146,6 +158,12 @@
         """Whether it can no longer be used."""
         return self._stream.closed()
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes arrived that belong to no answer."""
+        # IOStream has no public question for this; reading would take the bytes.
+        return bool(self._stream._read_buffer_size)
+
     def close(self) -> None:
         """Ends the connection and whatever runs on it."""
         self._stream.close()
@@ -173,6 +191,9 @@
         Raises:
             ExchangeBrokenError: When the connection ends before the answer does.
             ExchangeTimeoutError: When a wait is over its limit.
+
+        ``on_head`` may raise ``ForeignAnswerError``: the answer is read past, and the next one on
+        the connection is taken instead.
         """
         receiver = _Receiver(self, self._client.clock, on_head, on_data, waits)
         connection = HTTP1Connection(self._stream, True, PARAMETERS)
@@ -199,16 +220,31 @@
             sent = connection.write_headers(start, headers, request.body)
             connection.finish()
             await connection.read_response(receiver)
-            if receiver.finished:
-                await sent
+            await self._read_past_foreign(receiver)
+            if receiver.finished and not sent.done():
+                # The answer came before the whole body was taken: what follows on this connection
+                # would be read as the rest of that body.
+                self.close()
         except StreamClosedError:
             pass
         if receiver.error is not None:
             raise receiver.error
+        if receiver.ends_with_connection and self._stream.error is not None:
+            receiver.finished = False
         if not receiver.finished:
             kind = ExchangeTimeoutError if self.timed_out else ExchangeBrokenError
             raise kind(f"{request.method} {request.path} at {self.address} did not end.")
 
+    async def _read_past_foreign(self, receiver: _Receiver) -> None:
+        """Reads the next answers while the last one belonged to another request."""
+        for _ in range(FOREIGN_ANSWERS_SKIPPED):
+            if not receiver.foreign or self.closed:
+                return
+            receiver.foreign = False
+            following = HTTP1Connection(self._stream, True, PARAMETERS)
+            following.finish()
+            await following.read_response(receiver)
+
 
 class _Receiver(HTTPMessageDelegate):
     """Hands the parts of one answer on and moves the deadline with each."""
@@ -222,6 +258,8 @@
         waits: Waits,
     ) -> None:
         self.finished = False
+        self.foreign = False
+        self.ends_with_connection = False
         self.error: Exception | None = None
         self._connection = connection
         self._clock = clock
@@ -234,15 +272,19 @@
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
         self._extend()
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        self.ends_with_connection = not framed
         return self._guard(lambda: self._on_head(HttpHead(start_line.code, headers)))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._extend()
+        if self.foreign:
+            return None
         waiting = self._guard(lambda: self._on_data(chunk))
         return None if waiting is None else self._wait(waiting)
 
     def finish(self) -> None:
-        self.finished = True
+        self.finished = not self.foreign
 
     def on_connection_close(self) -> None:
         return
@@ -256,6 +298,9 @@
             return None
         try:
             return call()
+        except ForeignAnswerError:
+            self.foreign = True
+            return None
         except Exception as error:
             self.error = error
             self._connection.close()
@@ -334,7 +379,9 @@
     def release(self, connection: HttpConnection) -> None:
         """Gives a connection back after a whole exchange."""
         idle = self._idle_by_address[connection.address]
-        if connection.closed or len(idle) >= IDLE_PER_ADDRESS:
+        if (
+            connection.closed or connection.has_unread_bytes or len(idle) >= IDLE_PER_ADDRESS
+        ):
             connection.close()
             return
         connection.notice_closing()
@@ -398,7 +445,8 @@
         idle = self._idle_by_address[address]
         while idle:
             connection = idle.pop()
-            if not connection.closed and self.clock.now() - connection.idle_since_ms < IDLE_AGE_MS:
+            young = self.clock.now() - connection.idle_since_ms < IDLE_AGE_MS
+            if young and not connection.closed and not connection.has_unread_bytes:
                 return connection
             connection.close()
         return None
--- a/packages/mastickeel/src/mastickeel/logs.py
+++ b/packages/mastickeel/src/mastickeel/logs.py
@@ -1,10 +1,10 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line, on standard error unless said otherwise."""
 
 from __future__ import annotations
 
 import logging
 import sys
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO
 
 import structlog
 
@@ -14,12 +14,15 @@
 LEVELS_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def configure(level: str = "info", instance_id: str = "") -> None:
+def configure(
+    level: str = "info", instance_id: str = "", stream: TextIO | None = None
+) -> None:
     """Sets up the logs of the process.
 
     Args:
         level: The lowest level that is written.
         instance_id: The instance that each record names.
+        stream: Where records go; None for standard error.
     """
     number = LEVELS_BY_NAME[level]
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr, format="%(message)s")
@@ -34,7 +37,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
     if instance_id:
--- a/packages/mastickeel/src/mastickeel/settings.py
+++ b/packages/mastickeel/src/mastickeel/settings.py
@@ -6,7 +6,7 @@
 import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import cattrs
 from cattrs import transform_error
@@ -19,6 +19,8 @@
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 HASH_DIGITS = 64
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class Secret:
@@ -181,11 +183,21 @@
     Raises:
         SettingsError: When there are faults; it lists every one.
     """
+    return parse(read_text(path))
+
+
+def read_text(path: Path) -> str:
+    """Reads a settings file.
+
+    Raises:
+        SettingsError: When it cannot be read as text.
+    """
     try:
-        text = path.read_text()
+        return path.read_text()
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror}; name a readable file"]) from error
-    return parse(text)
+    except UnicodeDecodeError as error:
+        raise SettingsError([f"{path}: not UTF-8 text; write it again"]) from error
 
 
 def parse(text: str) -> Settings:
@@ -197,6 +209,25 @@
     Returns:
         The settings.
 
+    Raises:
+        SettingsError: When there are faults; it lists every one.
+    """
+    settings = structure(text, Settings)
+    if faults := _check(settings):
+        raise SettingsError(faults)
+    return settings
+
+
+def structure(text: str, kind: type[T]) -> T:
+    """Reads TOML into a settings class; the types of its fields are checked, not their ranges.
+
+    Args:
+        text: The document.
+        kind: A frozen dataclass.
+
+    Returns:
+        An instance of it.
+
     Raises:
         SettingsError: When there are faults; it lists every one.
     """
@@ -205,13 +236,10 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"not TOML: {error}; correct the line"]) from error
     try:
-        settings = _CONVERTER.structure(document, Settings)
+        return _CONVERTER.structure(document, kind)
     except Exception as error:
         faults = transform_error(error, path="settings", format_exception=_describe)
         raise SettingsError(faults) from error
-    if faults := _check(settings):
-        raise SettingsError(faults)
-    return settings
 
 
 def _describe(error: BaseException, kind: type | None) -> str:
--- a/packages/mastickeel_router/src/mastickeel_router/callers/sinks.py
+++ b/packages/mastickeel_router/src/mastickeel_router/callers/sinks.py
@@ -8,7 +8,7 @@
 from tornado.http1connection import HTTP1Connection
 
 from mastickeel_router.dispatch import engine
-from mastickeel_router.dispatch._sse import decode_event
+from mastickeel_router.sse import decode_event
 from mastickeel_router.dispatch.intents import Outcome
 
 if TYPE_CHECKING:
--- a/packages/mastickeel_router/src/mastickeel_router/choice/cascade.py
+++ b/packages/mastickeel_router/src/mastickeel_router/choice/cascade.py
@@ -6,7 +6,7 @@
 
 from mastickeel.errors import MastickeelError, Ran
 from mastickeel_router.choice.ratings import TEXT_LIMIT_CHARACTERS
-from mastickeel_router.dispatch._sse import decode_event
+from mastickeel_router.sse import decode_event
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -0,0 +1,113 @@
+"""Follows a part of the store: reads it whole, then watches from there, and again after a break."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mastickeel.errors import StoreCompactedError, StoreError
+from mastickeel.events import STORE_DOWN, STORE_UP, define
+from mastickeel.logs import log
+from mastickeel_router.backoff import Backoff
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from mastickeel._kvtypes import KeyValue, RangeResult, WatchBatch
+    from mastickeel.clock import Clock
+    from mastickeel.storeport import Store
+
+FIRST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 800
+"""Under half of the two seconds in which a change has to be in force once the store is back."""
+
+HISTORY_LOST = define(
+    2310, "store_history_lost", "warning", "A watch's revision is gone; the part is read whole."
+)
+
+
+@dataclass(frozen=True)
+class Reader:
+    """Where what is read goes."""
+
+    on_list: Callable[[tuple[KeyValue, ...], int], None]
+    """Takes the whole part and the revision that it is at least as new as."""
+    on_put: Callable[[KeyValue], None]
+    on_delete: Callable[[str, int], None]
+    """Takes a key and the revision of its deletion."""
+    on_outage: Callable[[], None] = lambda: None
+    """Called when the store stops answering."""
+    on_return: Callable[[], None] = lambda: None
+    """Called with the first answer after that."""
+
+
+async def follow(
+    store: Store, prefix: str, reader: Reader, *, clock: Clock, draw: random.Random
+) -> None:
+    """Follows all keys with a prefix until cancelled.
+
+    Args:
+        store: The store.
+        prefix: What the keys begin with.
+        reader: Takes what is read.
+        clock: Times the pauses after failures.
+        draw: Spreads them over the fleet.
+    """
+    follower = _Follower(store, prefix, reader, clock, draw)
+    while True:
+        try:
+            await follower.run()
+        except StoreCompactedError as error:
+            log(HISTORY_LOST, prefix=prefix, revision=follower.revision, error=str(error))
+            follower.revision = None
+        except StoreError as error:
+            follower.note_outage(error)
+            await follower.backoff.pause()
+
+
+class _Follower:
+    """How far one part of the store has been read."""
+
+    def __init__(
+        self, store: Store, prefix: str, reader: Reader, clock: Clock, draw: random.Random
+    ) -> None:
+        self.revision: int | None = None
+        """The newest revision that has been read; None to read the part whole."""
+        self.backoff = Backoff(clock, draw, first_ms=FIRST_PAUSE_MS, longest_ms=LONGEST_PAUSE_MS)
+        self._store = store
+        self._prefix = prefix
+        self._reader = reader
+        self._down = False
+
+    async def run(self) -> None:
+        """Reads the part whole if need be, then watches it until the watch ends."""
+        if self.revision is None:
+            listed: RangeResult = await self._store.range(self._prefix, prefix=True)
+            self._note_answer()
+            self._reader.on_list(listed.items, listed.revision)
+            self.revision = listed.revision
+        async for batch in self._store.watch(self._prefix, self.revision + 1):
+            self._note_answer()
+            self._apply(batch)
+            self.revision = max(self.revision, batch.revision)
+
+    def note_outage(self, error: StoreError) -> None:
+        """Notes that the store did not answer; logged once an outage."""
+        if not self._down:
+            self._down = True
+            log(STORE_DOWN, prefix=self._prefix, revision=self.revision, error=str(error))
+            self._reader.on_outage()
+
+    def _note_answer(self) -> None:
+        self.backoff.reset()
+        if self._down:
+            self._down = False
+            log(STORE_UP, prefix=self._prefix, revision=self.revision)
+            self._reader.on_return()
+
+    def _apply(self, batch: WatchBatch) -> None:
+        for item in batch.puts:
+            self._reader.on_put(item)
+        for key in batch.deletes:
+            self._reader.on_delete(key, batch.revision)
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/answer.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/answer.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from mastickeel.httpclient import ExchangeBrokenError
-from mastickeel_router.dispatch._sse import EventSplitter, decode_event, event_sequence
+from mastickeel_router.sse import EventSplitter, decode_event, event_sequence
 from mastickeel_router.requests import Usage
 
 if TYPE_CHECKING:
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/endpoints.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/endpoints.py
@@ -10,7 +10,7 @@
 from mastickeel.metrics import Metrics
 from mastickeel.model import EndpointState, PoolKind
 from mastickeel.rendezvous import rank
-from mastickeel_router.dispatch.breaker import Breakers
+from mastickeel_router.breaker import Breakers
 from mastickeel_router.dispatch.cacheevents import CacheEvents
 from mastickeel_router.dispatch.load import LoadReports
 
--- a/packages/mastickeel_router/src/mastickeel_router/duties.py
+++ b/packages/mastickeel_router/src/mastickeel_router/duties.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mastickeel.errors import StoreError
@@ -15,7 +16,7 @@
     from collections.abc import Awaitable, Callable
 
     from mastickeel.clock import Clock
-    from mastickeel.keyvalue import KeyValueClient
+    from mastickeel.storeport import Store
 
 LEASE_TTL_SECONDS = 10
 RENEW_INTERVAL_MS = 3_000
@@ -27,6 +28,19 @@
 DUTY_LOST = define(1006, "duty_lost", "warning", "A duty's lease could not be renewed; it stops.")
 
 
+@dataclass(frozen=True)
+class DutyTiming:
+    """The times of a duty's lease."""
+
+    ttl_seconds: int = LEASE_TTL_SECONDS
+    renew_ms: int = RENEW_INTERVAL_MS
+    campaign_ms: int = CAMPAIGN_INTERVAL_MS
+    """How often an instance that does not hold the duty tries."""
+
+
+DEFAULT_TIMING = DutyTiming()
+
+
 class Duty:
     """One duty, and whether this instance surely holds it now."""
 
@@ -35,10 +49,11 @@
         name: str,
         *,
         instance_id: str,
-        store: KeyValueClient,
+        store: Store,
         prefix: str,
         clock: Clock,
         is_candidate: Callable[[], bool] = lambda: True,
+        timing: DutyTiming = DEFAULT_TIMING,
     ) -> None:
         """Makes the duty, which is not held until ``run`` has won it.
 
@@ -49,6 +64,7 @@
             prefix: What all keys of this deployment begin with.
             clock: Times the lease.
             is_candidate: Whether this instance should try; keeps a large fleet from asking.
+            timing: How long the lease lasts and how often it is renewed.
         """
         self.name = name
         """What the duty is called."""
@@ -58,6 +74,7 @@
         self._store = store
         self._clock = clock
         self._is_candidate = is_candidate
+        self._timing = timing
         self._lease = 0
         self._fencing = 0
         self._until_ms = 0
@@ -69,7 +86,7 @@
 
     def still_held(self) -> Compare:
         """Returns the condition that a write under this duty must carry."""
-        return Compare(self.key, "CREATE", self._fencing)
+        return Compare(self.key, "MOD", self._fencing)
 
     async def run(self, work: Callable[[], Awaitable[None]]) -> None:
         """Campaigns, and does the work while the duty is held, for as long as the instance runs.
@@ -83,7 +100,7 @@
             except StoreError:
                 won = False
             if not won:
-                await self._clock.sleep(CAMPAIGN_INTERVAL_MS)
+                await self._clock.sleep(self._timing.campaign_ms)
                 continue
             log(DUTY_TAKEN, duty=self.name, fencing=self._fencing)
             await self._work_while_held(work)
@@ -101,7 +118,7 @@
         if await self._store.get(self.key) is not None:
             return False
         asked_ms = self._clock.now()
-        lease = await self._store.grant(LEASE_TTL_SECONDS)
+        lease = await self._store.grant(self._timing.ttl_seconds)
         put = Put(self.key, self._instance_id.encode(), lease)
         free = Compare(self.key, "CREATE", 0)
         result = await self._store.txn((free,), (put,), (Get(self.key),))
@@ -118,7 +135,7 @@
         task = asyncio.ensure_future(work())
         try:
             while not task.done() and await self._renewed():
-                pause = asyncio.ensure_future(self._clock.sleep(RENEW_INTERVAL_MS))
+                pause = asyncio.ensure_future(self._clock.sleep(self._timing.renew_ms))
                 try:
                     await asyncio.wait([task, pause], return_when=asyncio.FIRST_COMPLETED)
                 finally:
@@ -142,4 +159,4 @@
 
     def _hold_from(self, asked_ms: int) -> None:
         """Counts the lease from when it was asked for, the earliest that it can have begun."""
-        self._until_ms = asked_ms + LEASE_TTL_SECONDS * 1_000 - SAFETY_MARGIN_MS
+        self._until_ms = asked_ms + self._timing.ttl_seconds * 1_000 - SAFETY_MARGIN_MS
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -0,0 +1,223 @@
+"""One gateway: the slices put together, started, drained and stopped."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from mastickeel import events
+from mastickeel.errors import MastickeelError
+from mastickeel.events import define
+from mastickeel.httpclient import HttpClient
+from mastickeel.logs import log
+from mastickeel.tasks import TaskGroup
+from mastickeel_router.discovery import EndpointRegistry, follow
+from mastickeel_router.discovery.feeds import Reader
+from mastickeel_router.gateway.health import HealthListener
+from mastickeel_router.placement import EndpointLoads
+from mastickeel_router.relay import CallerListener, Dispatcher
+from mastickeel_router.relay.budget import RepeatBudget
+from mastickeel_router.relay.exchange import Parts
+from mastickeel_router.releases import ReleaseOrder, Releases
+from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mastickeel._kvtypes import KeyValue
+    from mastickeel.clock import Clock
+    from mastickeel_router.gateway.deployment import Deployment
+    from mastickeel_router.gateway.settings import GatewaySettings
+
+IDLE_CHECK_MS = 50
+"""How often a stop looks whether the open requests have ended."""
+
+VALUE_IGNORED = define(
+    2350, "value_ignored", "warning", "A value of the store cannot be read; it changes nothing."
+)
+
+
+class Gateway:
+    """All that one instance runs."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        make_deployment: Callable[[HttpClient], Deployment],
+        seed: int | None = None,
+    ) -> None:
+        """Makes a gateway, which does nothing until it is started.
+
+        Args:
+            settings: Checked settings.
+            clock: Times everything in it.
+            make_deployment: Makes the adapter to the systems around it.
+            seed: Makes its random draws repeatable; None for fresh ones.
+        """
+        self.settings = settings
+        """What it runs with."""
+        self.clock = clock
+        """What times everything in it."""
+        self.draw = random.Random(seed)
+        """Its random numbers."""
+        self.http = HttpClient(clock)
+        """Its connections to endpoints and the store."""
+        self.table = RouteTable()
+        """Routes and keys in force."""
+        self.registry = EndpointRegistry(clock)
+        """The endpoints that live."""
+        self.loads = EndpointLoads(clock, self.draw, settings.instance.data_centre)
+        """What its own sends have shown of them."""
+        self.budget = RepeatBudget(clock, settings.repeats)
+        """What it may still send a second time."""
+        self.leaving = False
+        """Whether a stop has begun."""
+        self.callers_port = 0
+        """Where it serves callers, once started."""
+        self.health_port = 0
+        """Where it answers health checks, once started."""
+        self._tasks = TaskGroup()
+        self._deployment = make_deployment(self.http)
+        self.releases = Releases(
+            self._deployment,
+            instance_id=settings.instance.id,
+            prefix=settings.store.prefix,
+            clock=clock,
+            draw=self.draw,
+            session_gap_ms=settings.sessions.gap_ms,
+        )
+        """Which versions requests may run on while a release is under way."""
+        self.registry.on_lifetime.append(self.loads.forget)
+        self.table.on_change.append(lambda new: self._listener.apply_limits(new.limits))
+        self._dispatcher = Dispatcher(self._parts())
+        self._listener = CallerListener(self._dispatcher.serve, self._write_refusal, self._limits)
+        self._health = HealthListener(settings.health.path, lambda: self.ready)
+
+    @property
+    def ready(self) -> bool:
+        """Whether it takes new connections."""
+        known = self.table.configuration is not None and self.registry.loaded
+        return known and not self.leaving
+
+    async def start(self) -> None:
+        """Opens the listeners and begins to follow the store."""
+        deployment = self._deployment
+        self._follow("operator", deployment.operator_prefix, self._operator_reader())
+        self._follow("endpoints", deployment.entries_prefix, self._entry_reader())
+        for name, work in self.releases.work_by_name().items():
+            self._tasks.keep_running(self.clock, name, work)
+        self.callers_port = self._listener.listen(self.settings.callers.listen)
+        self.health_port = self._health.listen(self.settings.health.listen)
+        log(events.STARTED, callers=self.callers_port, health=self.health_port)
+
+    def apply(self, settings: GatewaySettings) -> None:
+        """Takes changed settings; listeners and the store's address stay until a restart."""
+        self.settings = settings
+        self.budget.limits = settings.repeats
+
+    async def drain(self) -> None:
+        """Takes no new connections, and waits for the open requests while there is time."""
+        stop = self.settings.stop
+        until_ms = self.clock.now() + stop.grace_ms - stop.reserve_ms
+        self.leaving = True
+        log(events.STOPPING, open_requests=self._listener.open_requests)
+        self._listener.end_reuse()
+        await self.releases.release_duty()
+        await self.clock.sleep(min(stop.leave_ms, until_ms - self.clock.now()))
+        self._listener.stop()
+        while self.clock.now() < until_ms:
+            self._listener.close_idle()
+            if not self._listener.open_requests:
+                break
+            await self.clock.sleep(IDLE_CHECK_MS)
+
+    async def stop(self) -> None:
+        """Closes everything at once."""
+        open_requests = self._listener.open_requests
+        await self._listener.close()
+        await self._health.close()
+        await self._tasks.stop()
+        await self.http.close()
+        log(events.STOPPED, cut_requests=open_requests)
+
+    def _parts(self) -> Parts:
+        return Parts(
+            clock=self.clock,
+            draw=self.draw,
+            client=self.http,
+            dialect=self._deployment.dialect,
+            table=self.table,
+            registry=self.registry,
+            loads=self.loads,
+            budget=self.budget,
+            select=self.releases.select,
+            observe=self.releases.observe,
+        )
+
+    def _limits(self) -> CallerLimits:
+        configuration = self.table.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def _write_refusal(self, error: MastickeelError) -> tuple[int, dict[str, str], bytes]:
+        return self._deployment.dialect.write_refusal(error, "")
+
+    def _follow(self, name: str, prefix: str, reader: Reader) -> None:
+        """Keeps following a part of the store."""
+        store = self._deployment.store
+        self._tasks.keep_running(
+            self.clock,
+            f"follow {name}",
+            lambda: follow(store, prefix, reader, clock=self.clock, draw=self.draw),
+        )
+
+    def _operator_reader(self) -> Reader:
+        def on_list(items: tuple[KeyValue, ...], revision: int) -> None:
+            for item in items:
+                self._take_operator_item(item)
+            present = {self._deployment.order_of_key(item.key) for item in items}
+            self.releases.keep_orders(present)
+
+        def on_delete(key: str, revision: int) -> None:
+            if service := self._deployment.order_of_key(key):
+                self.releases.drop_order(service)
+
+        return Reader(on_list, self._take_operator_item, on_delete)
+
+    def _take_operator_item(self, item: KeyValue) -> None:
+        """Takes what the operator wrote under one key."""
+        try:
+            read = self._deployment.read_operator_item(item)
+        except MastickeelError as error:
+            log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=error.detail)
+            return
+        if isinstance(read, RoutingConfiguration):
+            self.table.install(read, item.mod_revision)
+        elif isinstance(read, ReleaseOrder):
+            self.releases.take_order(read)
+
+    def _entry_reader(self) -> Reader:
+        registry, deployment = self.registry, self._deployment
+
+        def on_list(items: tuple[KeyValue, ...], revision: int) -> None:
+            records = []
+            for item in items:
+                try:
+                    records.append(deployment.read_entry(item.key, item.value))
+                except MastickeelError as error:
+                    log(VALUE_IGNORED, key=item.key, revision=revision, error=error.detail)
+            registry.replace(records, revision)
+
+        def on_put(item: KeyValue) -> None:
+            try:
+                registry.put(deployment.read_entry(item.key, item.value), item.mod_revision)
+            except MastickeelError as error:
+                log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=error.detail)
+                registry.remove(deployment.endpoint_of_key(item.key), item.mod_revision)
+
+        def on_delete(key: str, revision: int) -> None:
+            registry.remove(deployment.endpoint_of_key(key), revision)
+
+        return Reader(
+            on_list, on_put, on_delete, registry.begin_outage, registry.end_outage
+        )
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/process.py
@@ -0,0 +1,83 @@
+"""Runs a gateway until a signal asks it to stop; takes changed settings while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from mastickeel.clock import Clock
+from mastickeel.errors import SettingsError
+from mastickeel.events import SETTINGS_REFUSED, define
+from mastickeel.logs import configure, log
+from mastickeel_router.gateway.gateway import Gateway
+from mastickeel_router.gateway.settings import load
+from mastickeel_router.signals import stop_requested
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from mastickeel.httpclient import HttpClient
+    from mastickeel_router.gateway.deployment import Deployment
+    from mastickeel_router.gateway.settings import GatewaySettings
+
+SETTINGS_CHECK_MS = 1_000
+"""How often the settings file is looked at: it may change without a signal."""
+
+SETTINGS_TAKEN = define(
+    1007, "settings_taken", "info", "Changed settings are in force; listeners stay as they are."
+)
+
+
+async def serve(
+    path: Path, make_deployment: Callable[[HttpClient, GatewaySettings], Deployment]
+) -> None:
+    """Serves until SIGTERM or SIGINT, then drains and stops.
+
+    Args:
+        path: The settings file.
+        make_deployment: Makes the adapter to the systems around the gateway.
+
+    Raises:
+        SettingsError: When the settings have faults.
+    """
+    settings = load(path)
+    configure(settings.logs.level, settings.instance.id, stream=sys.stdout)
+    gateway = Gateway(settings, Clock(), lambda client: make_deployment(client, settings))
+    stop = stop_requested()
+    changed = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, changed.set)
+    await gateway.start()
+    reloading = asyncio.ensure_future(_keep_settings(path, gateway, changed))
+    await stop.wait()
+    reloading.cancel()
+    await gateway.drain()
+    await gateway.stop()
+
+
+async def _keep_settings(path: Path, gateway: Gateway, changed: asyncio.Event) -> None:
+    """Takes the settings again after a signal, or when the file is another."""
+    seen = _stamp(path)
+    while True:
+        await gateway.clock.sleep(SETTINGS_CHECK_MS)
+        stamp = _stamp(path)
+        if stamp == seen and not changed.is_set():
+            continue
+        seen = stamp
+        changed.clear()
+        try:
+            gateway.apply(load(path))
+            log(SETTINGS_TAKEN, path=str(path))
+        except SettingsError as error:
+            log(SETTINGS_REFUSED, faults=error.faults, kept="the settings before")
+
+
+def _stamp(path: Path) -> tuple[int, int]:
+    """Returns what changes with a file's content; zeros when it is missing."""
+    try:
+        status = path.stat()
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
@@ -0,0 +1,61 @@
+"""The cost of giving a request to an endpoint, in milliseconds: pure, from what is known of both."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mastickeel_router.relay.types import PromptPart
+
+TOKENS_READ_PER_MS = 49.6
+"""Prompt tokens that an engine reads in a millisecond; from the deployments' sheets."""
+SLOWDOWN_PER_RUN_MS = 25.0
+"""What a request that already runs at an engine costs the next one: its part of each step."""
+RUN_MS = 45.0
+"""What a request that already runs at a plain service costs the next one: its work, as the
+deployments' sheets say, over the slots of an endpoint."""
+OTHER_DATA_CENTRE_MS = 60.0
+"""What bytes between data centres are worth; above the round trip of 2 ms, as they are priced."""
+HOME_CHANCE = 0.6
+"""How likely a prompt's shared parts lie at the endpoint where all instances send them first."""
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a request asks of an endpoint."""
+
+    tokens_in: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    is_engine: bool = False
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """What is known of an endpoint."""
+
+    slots: int
+    running: int
+    """Requests of this instance that run there."""
+    same_data_centre: bool
+    held_tokens: int = 0
+    """Tokens of the prompt that this instance has sent there lately, in one row from the start."""
+    is_home: bool = False
+    """Whether all instances of the data centre send prompts with these parts there first."""
+    slowness: float = 1.0
+    """How long its answers take against those of its peers."""
+
+
+def score(demand: Demand, candidate: Candidate) -> float:
+    """Returns what the request would cost there, in milliseconds; less is better."""
+    distance_ms = 0.0 if candidate.same_data_centre else OTHER_DATA_CENTRE_MS
+    if not demand.is_engine:
+        load_ms = RUN_MS * candidate.running / max(1, candidate.slots)
+        return (RUN_MS + load_ms) * candidate.slowness + distance_ms
+    held = float(candidate.held_tokens)
+    if candidate.is_home:
+        shared = sum(part.tokens for part in demand.parts[:-1])
+        held = max(held, HOME_CHANCE * shared)
+    read_ms = max(0.0, demand.tokens_in - held) / TOKENS_READ_PER_MS
+    load_ms = SLOWDOWN_PER_RUN_MS * candidate.running
+    return (read_ms + load_ms) * candidate.slowness + distance_ms
--- a/packages/mastickeel_router/src/mastickeel_router/process.py
+++ b/packages/mastickeel_router/src/mastickeel_router/process.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from typing import TYPE_CHECKING
 
 from mastickeel.clock import Clock
 from mastickeel.logs import configure
 from mastickeel_router.router import Router
+from mastickeel_router.signals import stop_requested
 
 if TYPE_CHECKING:
     from mastickeel.settings import Settings
@@ -55,22 +55,3 @@
         await asyncio.gather(draining, return_exceptions=True)
         router.gate.leaving = True
     await router.settle()
-
-
-def stop_requested(again: asyncio.Event | None = None) -> asyncio.Event:
-    """Returns an event that SIGTERM and SIGINT set.
-
-    Args:
-        again: Set by the second signal.
-    """
-    stop = asyncio.Event()
-
-    def on_signal() -> None:
-        if stop.is_set() and again is not None:
-            again.set()
-        stop.set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
-    return stop
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -0,0 +1,374 @@
+"""Follows one request from its arrival to its answer: route, account, endpoints, repeats."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+
+from mastickeel.errors import EndpointError, MastickeelError, Ran, UnavailableError
+from mastickeel.events import define
+from mastickeel.logs import log
+from mastickeel_router.placement import Demand
+from mastickeel_router.relay.policy import (
+    Next,
+    SendEnd,
+    SendResult,
+    Situation,
+    next_step,
+    wants_repeat,
+)
+from mastickeel_router.relay.sending import AnswerCollector, Sender
+from mastickeel_router.relay.types import ANY_MODEL, Progress, Send
+from mastickeel_router.routes import RouteKind
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from mastickeel.clock import Clock
+    from mastickeel.events import Event
+    from mastickeel.httpclient import HttpClient
+    from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
+    from mastickeel_router.placement import EndpointLoads
+    from mastickeel_router.relay.budget import RepeatBudget
+    from mastickeel_router.relay.listener import Responder
+    from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect, RequestHead
+    from mastickeel_router.routes import Caller, Route, RouteTable
+
+ANSWER_MARGIN_MS = 25
+"""How long before the caller's own deadline the last answer leaves: the way to the caller and a
+late timer."""
+BUSY_RETRY_MS = 400
+"""When to come back after every endpoint refused: about the work that a full queue holds."""
+ABSENT_RETRY_MS = 1_000
+"""When to come back while no endpoint is known: endpoints register about once a second."""
+HIGHEST_URGENCY = 9
+EVENTS_FOR_PACE = 6
+"""The fewest events that tell a stream's pace."""
+
+REQUEST_SERVED = define(2340, "request_served", "info", "A request got an endpoint's answer.")
+REQUEST_REFUSED = define(
+    2341, "request_refused", "info", "A request was refused; it did not run. See code and sends."
+)
+REQUEST_FAILED = define(
+    2342, "request_failed", "warning", "A request failed after it may have run. See the sends."
+)
+REQUEST_LEFT = define(2343, "request_left", "info", "The caller left before the answer's end.")
+SEND_ENDED = define(
+    2344, "send_ended", "info", "A send brought no whole answer; says why and what follows."
+)
+
+
+class DeadlineError(MastickeelError):
+    """Raised when the time of a request is over and it may have run."""
+
+    code = "deadline"
+    status = 504
+    title = "No answer came within the route's or the caller's time."
+    remedy = "Ask the service whether the request ran before sending it again."
+    ran = Ran.UNKNOWN
+
+
+@dataclass(frozen=True)
+class Observed:
+    """What one send showed of an endpoint."""
+
+    endpoint: EndpointRecord
+    route: Route
+    result: SendResult
+    pace_ms: float | None = None
+    """Time for each event after a stream's first, or for a whole answer; None when not known."""
+
+
+@dataclass(frozen=True)
+class Parts:
+    """What the dispatcher works with."""
+
+    clock: Clock
+    draw: random.Random
+    client: HttpClient
+    dialect: Dialect
+    table: RouteTable
+    registry: EndpointRegistry
+    loads: EndpointLoads
+    budget: RepeatBudget
+    select: Callable[[str, CallerRequest, Sequence[EndpointRecord]], Sequence[EndpointRecord]]
+    """Keeps the endpoints whose version the request may run on."""
+    observe: Callable[[Observed], None]
+    """Told of each send."""
+
+
+class Dispatcher:
+    """Serves the requests of all routes."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Makes the dispatcher.
+
+        Args:
+            parts: What it works with.
+        """
+        self._parts = parts
+
+    async def serve(self, head: RequestHead, body: bytes, responder: Responder) -> None:
+        """Answers one request.
+
+        Args:
+            head: Its first line and headers.
+            body: Its body.
+            responder: Takes the answer.
+        """
+        parts = self._parts
+        request_id = ""
+        try:
+            request = parts.dialect.read_request(head)
+            request_id = request.id
+            route = parts.table.match(request.host, head.path)
+            caller = parts.table.caller_of(route, request.key)
+        except MastickeelError as error:
+            log(REQUEST_REFUSED, request=request_id, target=head.target, code=error.code)
+            await _refuse(parts.dialect, error, request_id, responder)
+            return
+        await _Run(parts, request, route, caller, body, responder).run()
+
+
+async def _refuse(
+    dialect: Dialect, error: MastickeelError, request_id: str, responder: Responder
+) -> None:
+    status, fields, body = dialect.write_refusal(error, request_id)
+    await responder.whole(status, HTTPHeaders(fields), body)
+
+
+class _Run:
+    """One request on its way."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        request: CallerRequest,
+        route: Route,
+        caller: Caller | None,
+        body: bytes,
+        responder: Responder,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._route = route
+        self._caller = caller
+        self._body = body
+        self._responder = responder
+        self._sender = Sender(parts.client, parts.dialect, parts.clock)
+        self._progress = Progress(parts.clock.now(), last_event=request.last_event)
+        self._first_event_ms: int | None = None
+        limit = route.timeout_ms
+        if request.deadline_ms is not None:
+            limit = min(limit, request.deadline_ms - ANSWER_MARGIN_MS)
+        self._until_ms = self._progress.started_ms + limit
+        self._service = _pick_service(route, parts.draw)
+        self._model = _pick_model(route, request)
+
+    @property
+    def _left_ms(self) -> int:
+        return self._until_ms - self._parts.clock.now()
+
+    async def run(self) -> None:
+        """Brings the request to its end and logs how it went."""
+        parts = self._parts
+        parts.budget.note_request(self._service)
+        try:
+            await parts.clock.wait_for(self._send_until_done(), self._left_ms)
+        except TimeoutError:
+            await self._give_up(self._timeout_error())
+        except MastickeelError as error:
+            await self._give_up(error)
+        except StreamClosedError:
+            self._log(REQUEST_LEFT)
+            raise
+        except BaseException:
+            self._log(REQUEST_LEFT)
+            raise
+
+    async def _send_until_done(self) -> None:
+        """Sends the request until an answer can be delivered or nothing more can be done."""
+        while True:
+            endpoint = self._choose()
+            result = await self._send(endpoint)
+            situation = Situation(
+                sends=self._progress.sends,
+                left_ms=self._left_ms,
+                head_passed=self._progress.head_passed,
+                may_have_run=self._progress.may_have_run,
+            )
+            paid = wants_repeat(result, self._route, situation) and self._parts.budget.take(
+                self._service
+            )
+            step = next_step(result, self._route, situation, paid=paid)
+            if result.end is not SendEnd.WHOLE or step is not Next.DELIVER:
+                self._log(
+                    SEND_ENDED, endpoint=endpoint.id, reason=result.reason, then=step.value
+                )
+            if step is Next.SEND_AGAIN:
+                continue
+            await self._finish(step, result)
+            return
+
+    def _choose(self) -> EndpointRecord:
+        """Chooses the endpoint of the next send.
+
+        Raises:
+            UnavailableError: When there is none, and the request has not run.
+            EndpointError: When there is none, and it may have.
+        """
+        parts = self._parts
+        known = parts.registry.usable(self._service)
+        records = parts.select(self._service, self._request, known)
+        untried = [one for one in records if one.id not in self._progress.tried]
+        prompt = self._request.prompt
+        demand = Demand()
+        if prompt is not None:
+            demand = Demand(prompt.tokens_in, prompt.parts, is_engine=True)
+        endpoint = parts.loads.choose(untried or records, demand, self._model)
+        if endpoint is not None:
+            return endpoint
+        detail = f"No endpoint of {self._service} is known."
+        if self._progress.may_have_run:
+            raise EndpointError(detail)
+        raise UnavailableError(detail, retry_after_ms=ABSENT_RETRY_MS)
+
+    async def _send(self, endpoint: EndpointRecord) -> SendResult:
+        """Sends the request to one endpoint and notes what that showed."""
+        parts, progress = self._parts, self._progress
+        progress.sends += 1
+        progress.tried.append(endpoint.id)
+        ran_before = progress.may_have_run
+        began_ms = parts.clock.now()
+        http_request = parts.dialect.write_send(self._describe(endpoint))
+        answer = AnswerCollector(
+            self._request,
+            self._route,
+            dialect=parts.dialect,
+            responder=self._responder,
+            progress=progress,
+            judge=self._accepts,
+        )
+        prompt = self._request.prompt
+        parts.loads.begin(endpoint.id, self._model, prompt.parts if prompt else ())
+        try:
+            result = await self._sender.send(
+                http_request, endpoint, answer, route=self._route, left_ms=self._left_ms
+            )
+        finally:
+            parts.loads.end(endpoint.id)
+        if result.end is SendEnd.NOT_RUN:
+            progress.may_have_run = ran_before
+        self._note(endpoint, result, began_ms)
+        return result
+
+    def _describe(self, endpoint: EndpointRecord) -> Send:
+        prompt, progress = self._request.prompt, self._progress
+        priority = self._route.priority
+        if self._caller is not None and self._caller.priority is not None:
+            priority = self._caller.priority
+        return Send(
+            request=self._request,
+            endpoint=endpoint,
+            caller=self._caller,
+            left_ms=self._left_ms,
+            body=self._body,
+            model=self._model if prompt is not None else "",
+            after_event=progress.last_event,
+            urgency=min(priority, HIGHEST_URGENCY) if prompt is not None else None,
+        )
+
+    def _accepts(self, head: AnswerHead) -> bool:
+        """Takes each answer, and notes when the first event came."""
+        self._first_event_ms = self._parts.clock.now()
+        return True
+
+    def _note(self, endpoint: EndpointRecord, result: SendResult, began_ms: int) -> None:
+        """Tells who learns from sends."""
+        breakers = self._parts.loads.breakers
+        if result.end is SendEnd.WHOLE:
+            breakers.note_success(endpoint.id)
+        elif result.end is SendEnd.BROKEN or result.head is None:
+            breakers.note_failure(endpoint.id, unreachable=result.end is SendEnd.NOT_RUN)
+        pace_ms = self._pace(result, began_ms)
+        self._parts.observe(Observed(endpoint, self._route, result, pace_ms))
+
+    def _pace(self, result: SendResult, began_ms: int) -> float | None:
+        """Returns how long the answer took by its length; None when too little has come."""
+        now = self._parts.clock.now()
+        if self._route.kind is not RouteKind.STREAM:
+            return float(now - began_ms) if result.end is SendEnd.WHOLE else None
+        events = (self._progress.last_event or 0) - (self._request.last_event or 0)
+        if self._first_event_ms is None or events < EVENTS_FOR_PACE or self._progress.sends > 1:
+            return None
+        return (now - self._first_event_ms) / events
+
+    async def _finish(self, step: Next, result: SendResult) -> None:
+        """Gives the caller what the last send left."""
+        if step is Next.DELIVER:
+            assert result.head is not None
+            if not self._responder.begun:
+                await self._responder.whole(result.head.status, result.head.headers, result.body)
+            self._log(REQUEST_SERVED, status=result.head.status)
+        elif step is Next.REFUSE:
+            retry_ms = result.retry_after_ms or BUSY_RETRY_MS
+            raise UnavailableError("No endpoint took the request.", retry_after_ms=retry_ms)
+        else:
+            raise EndpointError(f"The last endpoint: {result.reason}.")
+
+    def _timeout_error(self) -> MastickeelError:
+        """Says what a caller is told whose time is over."""
+        if self._progress.may_have_run:
+            return DeadlineError()
+        return UnavailableError("No endpoint took the request in time.")
+
+    async def _give_up(self, error: MastickeelError) -> None:
+        """Ends the request without an endpoint's answer."""
+        refused = error.ran is Ran.NO
+        self._log(REQUEST_REFUSED if refused else REQUEST_FAILED, code=error.code)
+        if self._responder.begun:
+            self._responder.abort()
+            return
+        await _refuse(self._parts.dialect, error, self._request.id, self._responder)
+
+    def _log(self, event: Event, **fields: object) -> None:
+        """Writes what is known of the request with an event."""
+        parts, progress = self._parts, self._progress
+        configuration = parts.table.configuration
+        first = self._first_event_ms
+        log(
+            event,
+            request=self._request.id,
+            route=self._route.name,
+            service=self._service,
+            account=self._caller.name if self._caller else "",
+            model=self._model,
+            sends=progress.sends,
+            endpoints=progress.tried,
+            took_ms=parts.clock.now() - progress.started_ms,
+            first_ms=None if first is None else first - progress.started_ms,
+            left_ms=self._left_ms,
+            version=configuration.version if configuration else 0,
+            **fields,
+        )
+
+
+def _pick_service(route: Route, draw: random.Random) -> str:
+    """Draws one of the route's services by weight."""
+    if len(route.splits) == 1:
+        return route.splits[0].service
+    weights = [split.weight for split in route.splits]
+    return draw.choices([split.service for split in route.splits], weights)[0]
+
+
+def _pick_model(route: Route, request: CallerRequest) -> str:
+    """Returns the model that the request runs on: the caller's, or the largest of the route."""
+    if request.prompt is None:
+        return ""
+    if request.prompt.model == ANY_MODEL and route.models:
+        return route.models[-1]
+    return request.prompt.model
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -0,0 +1,118 @@
+"""What follows a send: pure decisions, without input or output."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mastickeel_router.relay.types import AnswerHead
+    from mastickeel_router.routes import Route
+
+NOT_RUN_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request did not run and never will."""
+SHORTEST_SEND_MS = 30
+"""With less time than this left, a further send cannot bring an answer: the fastest plain calls
+take about as long."""
+
+
+class SendEnd(Enum):
+    """How a send ended."""
+
+    WHOLE = "whole"
+    """A whole answer to this request arrived; streams have been passed on to their end."""
+    NOT_RUN = "not_run"
+    """The request surely did not run there."""
+    BROKEN = "broken"
+    """The answer was lost or unusable; the request may have run."""
+    DROPPED = "dropped"
+    """The answer was given up for one of a larger model."""
+
+
+class Next(Enum):
+    """What follows."""
+
+    DELIVER = "deliver"
+    """The answer goes to the caller."""
+    SEND_AGAIN = "send_again"
+    REFUSE = "refuse"
+    """The caller is told that the request did not run."""
+    FAIL = "fail"
+    """The caller is told that the outcome is not known."""
+    BREAK_OFF = "break_off"
+    """The caller's connection ends: a part of the answer is with it and the rest cannot be had."""
+
+
+@dataclass(frozen=True)
+class SendResult:
+    """What one send brought."""
+
+    end: SendEnd
+    head: AnswerHead | None = None
+    body: bytes = b""
+    reason: str = ""
+    """Why it is not whole, for the log."""
+    retry_after_ms: int | None = None
+
+
+@dataclass(frozen=True)
+class Situation:
+    """What is known of a request after a send."""
+
+    sends: int
+    left_ms: float
+    head_passed: bool
+    """Whether the caller has a part of an answer."""
+    may_have_run: bool
+    """Whether any send so far may have run."""
+
+
+def classify(head: AnswerHead, *, expects_stream: bool) -> SendEnd:
+    """Says what an answer that arrived whole is worth.
+
+    Args:
+        head: Its status and headers.
+        expects_stream: Whether the route's answers are streams.
+    """
+    if head.not_run or head.status == 421:
+        return SendEnd.NOT_RUN
+    if head.encoded:
+        return SendEnd.BROKEN
+    if 200 <= head.status < 300:
+        genuine = head.signed and head.request_id
+        return SendEnd.WHOLE if genuine and head.is_stream >= expects_stream else SendEnd.BROKEN
+    if not head.request_id or head.status in NOT_RUN_PROMISES:
+        # Passed on, such a status would promise what nobody has said.
+        return SendEnd.BROKEN
+    return SendEnd.WHOLE
+
+
+def wants_repeat(result: SendResult, route: Route, situation: Situation) -> bool:
+    """Says whether a further send is right, the budget of repeats aside."""
+    if situation.sends >= route.attempts or situation.left_ms < SHORTEST_SEND_MS:
+        return False
+    if result.end is SendEnd.NOT_RUN:
+        return route.may_repeat or not situation.may_have_run
+    if result.end is SendEnd.WHOLE:
+        failed = result.head is not None and result.head.status >= 500
+        return failed and route.may_repeat
+    return route.may_repeat
+
+
+def next_step(result: SendResult, route: Route, situation: Situation, *, paid: bool) -> Next:
+    """Says what follows a send.
+
+    Args:
+        result: What it brought.
+        route: The request's route.
+        situation: What is known so far.
+        paid: Whether a further send is wanted and has been paid from the budget.
+    """
+    if paid:
+        return Next.SEND_AGAIN
+    if result.end is SendEnd.WHOLE:
+        return Next.DELIVER
+    if situation.head_passed:
+        return Next.BREAK_OFF
+    return Next.FAIL if situation.may_have_run else Next.REFUSE
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -0,0 +1,239 @@
+"""One send to one endpoint: the answer is checked, collected or passed on as it comes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mastickeel.errors import MastickeelError
+from mastickeel.httpclient import (
+    ConnectionFailedError,
+    ExchangeBrokenError,
+    ForeignAnswerError,
+    Waits,
+)
+from mastickeel_router.relay.policy import SendEnd, SendResult, classify
+from mastickeel_router.routes import RouteKind
+from mastickeel_router.sse import EventSplitter, event_sequence
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from mastickeel.clock import Clock
+    from mastickeel.httpclient import HttpClient, HttpHead, HttpRequest
+    from mastickeel_router.discovery import EndpointRecord
+    from mastickeel_router.relay.listener import Responder
+    from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect, Progress
+    from mastickeel_router.routes import Route
+
+CONNECT_MS = 500
+"""The longest wait for a connection: far above the millisecond that endpoints take, and one lost
+packet's repeat."""
+STREAM_SILENCE_MS = 4_000
+"""The longest silence of a stream before it is taken to be lost; above the pauses that preemption
+brings, below the eight seconds after which callers leave."""
+PLAIN_SILENCE_FACTOR = 1.0
+"""A plain answer may take all of the time that is left: silence alone does not end it."""
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class StreamGapError(MastickeelError):
+    """Raised when a stream skips an event or goes back: its channel is given up."""
+
+    code = "stream_gap"
+    status = 502
+    title = "The endpoint's stream has a gap."
+    remedy = "Send the request again."
+
+
+class TooLargeAnswerError(MastickeelError):
+    """Raised when a whole answer does not fit into memory."""
+
+    code = "answer_too_large"
+    status = 502
+    title = "The endpoint's answer is too large to be checked whole."
+    remedy = "Ask for less, or use a streaming route."
+
+
+class DroppedError(MastickeelError):
+    """Raised to give up an answer before any of it reaches the caller."""
+
+    code = "answer_dropped"
+    title = "The answer was given up for one of a larger model."
+
+
+class Sender:
+    """Sends requests to endpoints over the shared connections."""
+
+    def __init__(self, client: HttpClient, dialect: Dialect, clock: Clock) -> None:
+        """Makes the sender.
+
+        Args:
+            client: Sends the requests.
+            dialect: Reads the answers' heads.
+            clock: Times the first events.
+        """
+        self._client = client
+        self._dialect = dialect
+        self._clock = clock
+
+    async def send(
+        self,
+        http_request: HttpRequest,
+        endpoint: EndpointRecord,
+        answer: AnswerCollector,
+        *,
+        route: Route,
+        left_ms: float,
+    ) -> SendResult:
+        """Sends one request and collects or passes on its answer.
+
+        Args:
+            http_request: As it goes out.
+            endpoint: Where to.
+            answer: Takes the answer.
+            route: The request's route.
+            left_ms: What is left of the caller's time.
+
+        Returns:
+            How the send ended; errors of the exchange are a part of that.
+        """
+        silence_ms = min(left_ms, STREAM_SILENCE_MS) if answer.expects_stream else left_ms
+        waits = Waits(min(CONNECT_MS, left_ms), silence_ms, silence_ms)
+        try:
+            connection = await self._client.connect(
+                endpoint.address, waits=waits, fresh=route.kind is RouteKind.ONCE
+            )
+        except ConnectionFailedError as error:
+            return SendResult(SendEnd.NOT_RUN, reason=f"{error.code}: {error.detail}")
+        answer.begin()
+        try:
+            await connection.exchange(
+                http_request, on_head=answer.on_head, on_data=answer.on_data, waits=waits
+            )
+        except DroppedError as error:
+            return SendResult(SendEnd.DROPPED, answer.head, reason=error.code)
+        except (ExchangeBrokenError, StreamGapError, TooLargeAnswerError) as error:
+            return SendResult(SendEnd.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
+        result = await answer.finish()
+        if answer.head is None or answer.head.closes or result.end is SendEnd.BROKEN:
+            connection.close()
+        self._client.release(connection)
+        return result
+
+
+class AnswerCollector:
+    """Takes the answer to one send: keeps a whole one, passes a stream on event by event."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        *,
+        dialect: Dialect,
+        responder: Responder,
+        progress: Progress,
+        judge: Callable[[AnswerHead], bool],
+    ) -> None:
+        """Makes a collector for one send.
+
+        Args:
+            request: What was asked.
+            route: Its route.
+            dialect: Reads the head.
+            responder: Takes a stream's events.
+            progress: What the caller has so far.
+            judge: Says of a stream's head whether the answer is taken.
+        """
+        self.head: AnswerHead | None = None
+        """Status and headers, once they have arrived."""
+        self.expects_stream = route.kind is RouteKind.STREAM
+        """Whether the route's answers are streams."""
+        self._request = request
+        self._route = route
+        self._dialect = dialect
+        self._responder = responder
+        self._progress = progress
+        self._judge = judge
+        self._parts: list[bytes] = []
+        self._received = 0
+        self._splitter = EventSplitter()
+
+    @property
+    def _passes_on(self) -> bool:
+        """Whether the answer is a stream that goes to the caller as it comes."""
+        head = self.head
+        return (
+            self.expects_stream
+            and head is not None
+            and classify(head, expects_stream=True) is SendEnd.WHOLE
+            and head.status == 200
+        )
+
+    def begin(self) -> None:
+        """Notes that the request leaves: from now on it may run."""
+        self._progress.may_have_run = True
+
+    def on_head(self, http_head: HttpHead) -> None:
+        """Takes status and headers."""
+        head = self._dialect.read_answer(http_head)
+        if head.request_id and head.request_id != self._request.id:
+            raise ForeignAnswerError(f"It names {head.request_id}, not {self._request.id}.")
+        self.head = head
+        if self._passes_on and not self._progress.head_passed and not self._judge(head):
+            raise DroppedError()
+
+    def on_data(self, chunk: bytes) -> Awaitable[None] | None:
+        """Takes a part of the body."""
+        if self._passes_on:
+            events = self._splitter.split(chunk)
+            return self._pass_on(events) if events else None
+        self._received += len(chunk)
+        if self._received > ANSWER_LIMIT_BYTES:
+            raise TooLargeAnswerError(f"It is over {ANSWER_LIMIT_BYTES} bytes.")
+        self._parts.append(chunk)
+        return None
+
+    async def finish(self) -> SendResult:
+        """Judges an answer that has arrived to its end."""
+        assert self.head is not None
+        end = classify(self.head, expects_stream=self.expects_stream)
+        if self._passes_on:
+            if rest := self._splitter.rest():
+                await self._write(rest)
+            if not self._progress.head_passed:
+                return SendResult(SendEnd.BROKEN, self.head, reason="a stream without events")
+            self._responder.end()
+        return SendResult(
+            end,
+            self.head,
+            b"".join(self._parts),
+            reason="" if end is SendEnd.WHOLE else f"status {self.head.status}",
+        )
+
+    async def _pass_on(self, events: list[bytes]) -> None:
+        """Passes whole events on, in order and each once."""
+        fresh = [event for event in events if self._is_next(event)]
+        if fresh:
+            await self._write(b"".join(fresh))
+
+    def _is_next(self, event: bytes) -> bool:
+        """Says whether an event goes on; one that the caller has already is left out."""
+        number = event_sequence(event)
+        if number is None:
+            return True
+        last = self._progress.last_event
+        if last is not None and number <= last:
+            return False
+        if last is not None and number != last + 1:
+            raise StreamGapError(f"Event {number} came after {last}.")
+        self._progress.last_event = number
+        return True
+
+    async def _write(self, data: bytes) -> None:
+        """Writes to the caller; the head goes with the first event."""
+        if self._progress.head_passed:
+            await self._responder.piece(data)
+            return
+        assert self.head is not None
+        self._progress.head_passed = True
+        await self._responder.begin(self.head.status, self.head.headers, data)
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -0,0 +1,360 @@
+"""Carries releases out: this instance's part in each, and the duty of leading them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from mastickeel.errors import StoreError
+from mastickeel.events import define
+from mastickeel.keyvalue import Put
+from mastickeel.logs import log
+from mastickeel_router.discovery.feeds import Reader, follow
+from mastickeel_router.duties import Duty, DutyTiming
+from mastickeel_router.relay.policy import SendEnd
+from mastickeel_router.releases.judgement import Verdict, advance
+from mastickeel_router.releases.model import (
+    Evidence,
+    ReleaseOrder,
+    ReleasePlan,
+    ReleaseState,
+)
+from mastickeel_router.releases.quality import Paces
+from mastickeel_router.sequential import Block
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Coroutine, Sequence
+    from typing import Any
+
+    from mastickeel._kvtypes import KeyValue
+    from mastickeel.clock import Clock
+    from mastickeel_router.discovery import EndpointRecord
+    from mastickeel_router.gateway.deployment import Deployment
+    from mastickeel_router.relay.exchange import Observed
+    from mastickeel_router.relay.types import CallerRequest
+
+TIMING = DutyTiming(ttl_seconds=3, renew_ms=800, campaign_ms=700)
+"""A holder that is lost is replaced within four seconds, under a third of the shortest release."""
+LEAD_INTERVAL_MS = 800
+"""How often the holder weighs the evidence."""
+REPORT_INTERVAL_MS = 1_000
+"""How often an instance writes what it has seen, if that has changed."""
+WATCH_CHECK_MS = 200
+HASH_SPAN = float(1 << 64)
+SESSIONS_KEPT = 4_096
+
+ORDER_TAKEN = define(2360, "release_ordered", "info", "The operator ordered a release.")
+PLAN_TAKEN = define(2361, "release_plan", "info", "A release's share or state has changed.")
+PLAN_WRITTEN = define(2362, "release_plan_written", "info", "The duty's holder wrote a plan.")
+EVIDENCE_UNREADABLE = define(
+    2363, "release_evidence_unreadable", "warning", "An instance's evidence cannot be read."
+)
+
+
+class Releases:
+    """All releases as this instance knows them."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        instance_id: str,
+        prefix: str,
+        clock: Clock,
+        draw: random.Random,
+        session_gap_ms: int,
+    ) -> None:
+        """Makes it without any release.
+
+        Args:
+            deployment: Gives the store and tells the operator.
+            instance_id: This instance.
+            prefix: What its keys begin with.
+            clock: Times stages and sessions.
+            draw: Spreads retries.
+            session_gap_ms: How long a session is remembered after a request.
+        """
+        self._deployment = deployment
+        self._store = deployment.store
+        self._instance_id = instance_id
+        self._plans_prefix = f"{prefix}/releases/"
+        self._evidence_prefix = f"{prefix}-evidence/"
+        self._clock = clock
+        self._draw = draw
+        self._session_gap_ms = session_gap_ms
+        self._orders_by_service: dict[str, ReleaseOrder] = {}
+        self._seen_ms_by_service: dict[str, int] = {}
+        self._plans_by_service: dict[str, ReleasePlan] = {}
+        self._counts_by_service: dict[str, dict[str, Block]] = {}
+        self._reported_by_service: dict[str, dict[str, Block]] = {}
+        self._sessions: dict[str, tuple[str, int]] = {}
+        self._paces = Paces()
+        self._leaving = False
+        self._duty = Duty(
+            "releases",
+            instance_id=instance_id,
+            store=self._store,
+            prefix=prefix,
+            clock=clock,
+            is_candidate=lambda: bool(self._running()) and not self._leaving,
+            timing=TIMING,
+        )
+
+    def take_order(self, order: ReleaseOrder) -> None:
+        """Takes an order of the operator."""
+        known = self._orders_by_service.get(order.service)
+        if known is not None and known.revision >= order.revision:
+            return
+        self._orders_by_service[order.service] = order
+        self._seen_ms_by_service[order.service] = self._clock.now()
+        self._counts_by_service[order.service] = {}
+        log(
+            ORDER_TAKEN,
+            service=order.service,
+            target=order.target,
+            duration_ms=order.duration_ms,
+            revision=order.revision,
+        )
+
+    def keep_orders(self, services: set[str]) -> None:
+        """Drops the orders of all other services."""
+        for service in set(self._orders_by_service) - services:
+            self.drop_order(service)
+
+    def drop_order(self, service: str) -> None:
+        """Forgets an order that is gone; what was reverted stays out of use."""
+        plan = self._plan(service)
+        if plan is None or plan.state is not ReleaseState.REVERTED:
+            self._orders_by_service.pop(service, None)
+
+    def select(
+        self, service: str, request: CallerRequest, records: Sequence[EndpointRecord]
+    ) -> Sequence[EndpointRecord]:
+        """Keeps the endpoints whose version a request may run on.
+
+        Args:
+            service: Where it goes.
+            request: The request; requests of one session stay on one version.
+            records: The service's endpoints.
+        """
+        order = self._orders_by_service.get(service)
+        if order is None:
+            return records
+        old = [one for one in records if one.version != order.target]
+        target = [one for one in records if one.version == order.target]
+        plan = self._plan(service)
+        if plan is not None and plan.state is ReleaseState.COMPLETE:
+            return target or old
+        share = 0.0 if plan is None else plan.share
+        if share >= 1.0:
+            return target or old
+        if share <= 0.0:
+            return old
+        wants_target = self._version_is_target(request, order, share)
+        chosen = target if wants_target and target else old
+        if request.session and chosen:
+            self._remember(request.session, chosen[0].version)
+        return chosen
+
+    def observe(self, seen: Observed) -> None:
+        """Counts an answer for or against its version."""
+        service = seen.endpoint.service
+        order = self._orders_by_service.get(service)
+        on_trial = order is not None and seen.endpoint.version == order.target
+        if order is not None and service in self._running() and _tells(seen):
+            bad = self._paces.is_bad(seen)
+            block = Block(1, int(bad)) if on_trial else Block(0, 0, 1, int(bad))
+            counts = self._counts_by_service[service]
+            counts[seen.route.name] = counts.get(seen.route.name, Block()).plus(block)
+        if not on_trial:
+            self._paces.learn(seen)
+
+    def work_by_name(self) -> dict[str, Callable[[], Coroutine[Any, Any, None]]]:
+        """Returns the background work."""
+        return {
+            "release plans": self._follow_plans,
+            "release evidence": self._report,
+            "release duty": lambda: self._duty.run(self._lead),
+        }
+
+    async def release_duty(self) -> None:
+        """Hands the duty on, as this instance leaves."""
+        self._leaving = True
+        await self._duty.release()
+
+    def _plan(self, service: str) -> ReleasePlan | None:
+        """Returns the plan of a service's order, if there is one yet."""
+        plan = self._plans_by_service.get(service)
+        order = self._orders_by_service.get(service)
+        if plan is None or order is None or plan.order_revision != order.revision:
+            return None
+        return plan
+
+    def _running(self) -> list[str]:
+        """Returns the services whose releases are not at their end."""
+        running = []
+        for service in self._orders_by_service:
+            plan = self._plan(service)
+            if plan is None or plan.state is ReleaseState.RUNNING:
+                running.append(service)
+        return running
+
+    def _version_is_target(
+        self, request: CallerRequest, order: ReleaseOrder, share: float
+    ) -> bool:
+        """Says whether a request goes to the target, the same on every instance."""
+        known = self._sessions.get(request.session) if request.session else None
+        if known is not None and self._clock.now() - known[1] < self._session_gap_ms:
+            return known[0] == order.target
+        name = f"{request.session or request.id}\0{order.target}"
+        return xxhash.xxh3_64_intdigest(name.encode()) / HASH_SPAN < share
+
+    def _remember(self, session: str, version: str) -> None:
+        self._sessions.pop(session, None)
+        self._sessions[session] = (version, self._clock.now())
+        while len(self._sessions) > SESSIONS_KEPT:
+            del self._sessions[next(iter(self._sessions))]
+
+    async def _follow_plans(self) -> None:
+        """Follows the plans while a release runs; at other times nothing is asked of the store."""
+        while True:
+            if not self._running():
+                await self._clock.sleep(WATCH_CHECK_MS)
+                continue
+            reader = Reader(
+                lambda items, _: [self._take_plan(item) for item in items] and None,
+                self._take_plan,
+                lambda key, revision: None,
+            )
+            following = asyncio.ensure_future(
+                follow(
+                    self._store, self._plans_prefix, reader, clock=self._clock, draw=self._draw
+                )
+            )
+            try:
+                while self._running() and not following.done():
+                    await self._clock.sleep(WATCH_CHECK_MS)
+            finally:
+                following.cancel()
+                await asyncio.gather(following, return_exceptions=True)
+
+    def _take_plan(self, item: KeyValue) -> None:
+        try:
+            plan = msgspec.json.decode(item.value, type=ReleasePlan)
+        except msgspec.MsgspecError as error:
+            log(EVIDENCE_UNREADABLE, key=item.key, error=str(error))
+            return
+        if self._plans_by_service.get(plan.service) == plan:
+            return
+        self._plans_by_service[plan.service] = plan
+        log(
+            PLAN_TAKEN,
+            service=plan.service,
+            target=plan.target,
+            share=plan.share,
+            state=plan.state.value,
+            revision=item.mod_revision,
+        )
+
+    async def _report(self) -> None:
+        """Writes what this instance has seen, while releases run and there is news."""
+        while True:
+            await self._clock.sleep(REPORT_INTERVAL_MS)
+            for service in self._running():
+                counts = dict(self._counts_by_service.get(service, {}))
+                if counts == self._reported_by_service.get(service, {}):
+                    continue
+                evidence = Evidence(self._orders_by_service[service].revision, counts)
+                key = f"{self._evidence_prefix}{service}/{self._instance_id}"
+                try:
+                    await self._store.txn((), (Put(key, msgspec.json.encode(evidence)),))
+                except StoreError:
+                    # The counts are sums: the next report holds these too.
+                    continue
+                self._reported_by_service[service] = counts
+
+    async def _lead(self) -> None:
+        """Moves each release on, while this instance holds the duty."""
+        verdicts_by_revision: dict[int, Verdict] = {}
+        while True:
+            for service in self._running():
+                order = self._orders_by_service[service]
+                verdict = verdicts_by_revision.setdefault(order.revision, Verdict())
+                try:
+                    await self._lead_one(order, verdict)
+                except StoreError:
+                    # Read and written anew in the next round.
+                    continue
+            await self._clock.sleep(LEAD_INTERVAL_MS)
+
+    async def _lead_one(self, order: ReleaseOrder, verdict: Verdict) -> None:
+        """Weighs the evidence of one release and writes its plan if that changes."""
+        key = f"{self._plans_prefix}{order.service}"
+        plan = self._plan(order.service) or await self._read_plan(key, order)
+        found = await self._store.range(f"{self._evidence_prefix}{order.service}/", prefix=True)
+        verdict.take(_add_up(found.items, order))
+        wall_ms = self._clock.wall()
+        seen_for_ms = self._clock.now() - self._seen_ms_by_service[order.service]
+        began_wall_ms = plan.began_wall_ms or wall_ms - seen_for_ms
+        wanted = advance(
+            replace(plan, began_wall_ms=began_wall_ms),
+            order,
+            elapsed_ms=max(seen_for_ms, wall_ms - began_wall_ms),
+            answers=verdict.answers,
+            is_bad=verdict.is_bad,
+        )
+        if wanted == plan:
+            return
+        await self._write_plan(key, order, wanted)
+
+    async def _read_plan(self, key: str, order: ReleaseOrder) -> ReleasePlan:
+        """Returns the plan as the store has it, or a new one for an order without."""
+        if (item := await self._store.get(key)) is not None:
+            self._take_plan(item)
+        fresh = ReleasePlan(order.service, order.target, order.revision)
+        return self._plan(order.service) or fresh
+
+    async def _write_plan(self, key: str, order: ReleaseOrder, plan: ReleasePlan) -> None:
+        """Writes a plan, and tells the operator, if the duty is still held."""
+        if self._duty.fencing is None:
+            return
+        puts = (
+            Put(key, msgspec.json.encode(plan)),
+            self._deployment.write_release_state(order, plan.state),
+        )
+        result = await self._store.txn((self._duty.still_held(),), puts)
+        if result.succeeded:
+            log(
+                PLAN_WRITTEN,
+                service=plan.service,
+                share=plan.share,
+                state=plan.state.value,
+                fencing=self._duty.fencing,
+            )
+            self._plans_by_service[plan.service] = plan
+
+
+def _tells(seen: Observed) -> bool:
+    """Whether a send says something of the version: refusals of a full endpoint do not."""
+    return seen.result.end in (SendEnd.WHOLE, SendEnd.BROKEN)
+
+
+def _add_up(items: Sequence[KeyValue], order: ReleaseOrder) -> dict[str, Block]:
+    """Adds the evidence of all instances for one order."""
+    sums_by_route: dict[str, Block] = {}
+    for item in items:
+        try:
+            evidence = msgspec.json.decode(item.value, type=Evidence)
+        except msgspec.MsgspecError as error:
+            log(EVIDENCE_UNREADABLE, key=item.key, error=str(error))
+            continue
+        if evidence.order_revision != order.revision:
+            continue
+        for route, block in evidence.blocks_by_route.items():
+            sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
+    return sums_by_route
--- a/packages/mastickeel_router/src/mastickeel_router/rollouts/guards.py
+++ b/packages/mastickeel_router/src/mastickeel_router/rollouts/guards.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.model import Guard
-from mastickeel_router.rollouts.sequential import Block, SequentialTest, share_of_alpha
+from mastickeel_router.sequential import Block, SequentialTest, share_of_alpha
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/_sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-ID_FIELD = b"id: "
+ID_FIELD = b"id:"
 
 
 class EventSplitter:
@@ -31,6 +31,11 @@
         *whole, self._pending = data.split(b"\n\n")
         return [event + b"\n\n" for event in whole]
 
+    def rest(self) -> bytes:
+        """Takes what has arrived after the last whole event."""
+        rest, self._pending = self._pending, b""
+        return rest
+
 
 def event_data(event: bytes) -> bytes:
     """Returns the data of an event, without its other fields."""
@@ -40,10 +45,11 @@
 
 def event_sequence(event: bytes) -> int | None:
     """Returns the number in an event's ``id`` field; None when it has none."""
-    if not event.startswith(ID_FIELD):
-        return None
-    digits = event[len(ID_FIELD) : event.find(b"\n")].strip()
-    return int(digits) if digits.isdigit() else None
+    for line in event.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            digits = line[len(ID_FIELD) :].strip()
+            return int(digits) if digits.isdigit() else None
+    return None
 
 
 def decode_event(event: bytes) -> dict[str, Any]:
--- a/tests/mastickeel_router/rollouts/test_sequential.py
+++ b/tests/mastickeel_router/test_sequential.py
@@ -12,7 +12,7 @@
 
 from mastickeel.model import Guard, Rollout
 from mastickeel_router.rollouts.guards import ALPHA, Guards
-from mastickeel_router.rollouts.sequential import (
+from mastickeel_router.sequential import (
     Block,
     SequentialTest,
     log_ratio,
