Cascade by the model's own confidence; one home for large prompts; new connections only

Cause: every request ran on the largest model, which the engines cannot carry; sends were repeated after four silent seconds, which multiplied the queues.

--- a/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
@@ -21,6 +21,9 @@
 """Parts of prompts remembered for each endpoint; about what an engine's memory holds."""
 PART_AGE_MS = 30_000
 """How long a part is believed to be held; engines forget the least recently used."""
+WORTH_A_JOURNEY_TOKENS = 4_000
+"""Prompts this large have one home for all data centres: reading 4,000 tokens again takes an
+engine longer than the way there and back."""
 TIE_MS = 2.0
 """Scores this near are drawn among, so that instances do not all take the first."""
 
@@ -85,10 +88,14 @@
         return self._draw.choice([one for cost, one in scored if cost <= best + TIE_MS])
 
     def _home(self, records: Sequence[EndpointRecord], demand: Demand) -> str:
-        """Returns where all instances of the data centre send such prompts first."""
+        """Returns where all instances send such prompts first."""
         if not demand.parts:
             return ""
-        near = [one.id for one in records if one.data_centre == self._data_centre]
+        near = [
+            one.id
+            for one in records
+            if one.data_centre == self._data_centre or demand.tokens_in >= WORTH_A_JOURNEY_TOKENS
+        ]
         shared = demand.parts[-2] if len(demand.parts) > 1 else demand.parts[0]
         return rank(shared.id, near or [one.id for one in records])[0]
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -12,6 +12,7 @@
 from mastickeel.events import define
 from mastickeel.logs import log
 from mastickeel_router.placement import Demand
+from mastickeel_router.placement.models import Opinion, next_size
 from mastickeel_router.relay.policy import (
     Next,
     SendEnd,
@@ -167,7 +168,14 @@
             limit = min(limit, request.deadline_ms - ANSWER_MARGIN_MS)
         self._until_ms = self._progress.started_ms + limit
         self._service = _pick_service(route, parts.draw)
-        self._model = _pick_model(route, request)
+        self._models = _models(route, request)
+        self._size = 0
+        self._confidence: int | None = None
+
+    @property
+    def _model(self) -> str:
+        """The model that the next send asks for; empty for plain services."""
+        return self._models[self._size] if self._models else ""
 
     @property
     def _left_ms(self) -> int:
@@ -201,8 +209,10 @@
                 head_passed=self._progress.head_passed,
                 may_have_run=self._progress.may_have_run,
             )
-            paid = wants_repeat(result, self._route, situation) and self._parts.budget.take(
-                self._service
+            # A larger model has been paid for when the smaller one's answer was given up.
+            paid = result.end is SendEnd.DROPPED or (
+                wants_repeat(result, self._route, situation)
+                and self._parts.budget.take(self._service)
             )
             step = next_step(result, self._route, situation, paid=paid)
             if result.end is not SendEnd.WHOLE or step is not Next.DELIVER:
@@ -283,10 +293,27 @@
         )
 
     def _accepts(self, head: AnswerHead) -> bool:
-        """Takes each answer, and notes when the first event came."""
-        self._first_event_ms = self._parts.clock.now()
+        """Takes an answer, or gives it up for one of a larger model."""
+        now = self._parts.clock.now()
+        opinion = Opinion(
+            confidence=head.confidence,
+            size=self._size,
+            sizes=len(self._models),
+            waited_ms=now - self._progress.started_ms,
+            objective_ms=self._route.objective_ms,
+        )
+        self._confidence = head.confidence
+        larger = next_size(opinion)
+        if larger is not None and self._may_drop() and self._parts.budget.take(self._service):
+            self._size = larger
+            return False
+        self._first_event_ms = now
         return True
 
+    def _may_drop(self) -> bool:
+        """Whether a larger model may be asked instead."""
+        return self._progress.sends < self._route.attempts and self._route.may_repeat
+
     def _note(self, endpoint: EndpointRecord, result: SendResult, began_ms: int) -> None:
         """Tells who learns from sends."""
         breakers = self._parts.loads.breakers
@@ -347,6 +374,7 @@
             service=self._service,
             account=self._caller.name if self._caller else "",
             model=self._model,
+            confidence=self._confidence,
             sends=progress.sends,
             endpoints=progress.tried,
             took_ms=parts.clock.now() - progress.started_ms,
@@ -365,10 +393,10 @@
     return draw.choices([split.service for split in route.splits], weights)[0]
 
 
-def _pick_model(route: Route, request: CallerRequest) -> str:
-    """Returns the model that the request runs on: the caller's, or the largest of the route."""
+def _models(route: Route, request: CallerRequest) -> tuple[str, ...]:
+    """Returns the models that may run the request, smallest first: the caller's, or the route's."""
     if request.prompt is None:
-        return ""
+        return ()
     if request.prompt.model == ANY_MODEL and route.models:
-        return route.models[-1]
-    return request.prompt.model
+        return route.models
+    return (request.prompt.model,)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -28,11 +28,12 @@
 CONNECT_MS = 500
 """The longest wait for a connection: far above the millisecond that endpoints take, and one lost
 packet's repeat."""
+FIRST_EVENT_OBJECTIVES = 2.5
+"""How many latency objectives a stream's first event may take before another endpoint is asked;
+callers leave after four. Less would send queued work again, when load is at its worst."""
 STREAM_SILENCE_MS = 4_000
-"""The longest silence of a stream before it is taken to be lost; above the pauses that preemption
-brings, below the eight seconds after which callers leave."""
-PLAIN_SILENCE_FACTOR = 1.0
-"""A plain answer may take all of the time that is left: silence alone does not end it."""
+"""The longest silence between events before a stream is taken to be lost: above the pauses that
+preemption brings, below the eight seconds after which callers leave."""
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
 
@@ -97,12 +98,11 @@
         Returns:
             How the send ended; errors of the exchange are a part of that.
         """
-        silence_ms = min(left_ms, STREAM_SILENCE_MS) if answer.expects_stream else left_ms
-        waits = Waits(min(CONNECT_MS, left_ms), silence_ms, silence_ms)
+        waits = _waits(route, left_ms)
         try:
-            connection = await self._client.connect(
-                endpoint.address, waits=waits, fresh=route.kind is RouteKind.ONCE
-            )
+            # A kept connection may be dead, silent or hold an answer to somebody else; a new one
+            # costs the endpoint a millisecond.
+            connection = await self._client.connect(endpoint.address, waits=waits, fresh=True)
         except ConnectionFailedError as error:
             return SendResult(SendEnd.NOT_RUN, reason=f"{error.code}: {error.detail}")
         answer.begin()
@@ -114,11 +114,18 @@
             return SendResult(SendEnd.DROPPED, answer.head, reason=error.code)
         except (ExchangeBrokenError, StreamGapError, TooLargeAnswerError) as error:
             return SendResult(SendEnd.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
-        result = await answer.finish()
-        if answer.head is None or answer.head.closes or result.end is SendEnd.BROKEN:
+        finally:
             connection.close()
-        self._client.release(connection)
-        return result
+        return await answer.finish()
+
+
+def _waits(route: Route, left_ms: float) -> Waits:
+    """Returns the limits on each wait; a plain answer may take all of the time that is left."""
+    first_ms = between_ms = left_ms
+    if route.kind is RouteKind.STREAM:
+        first_ms = min(left_ms, FIRST_EVENT_OBJECTIVES * route.objective_ms)
+        between_ms = min(left_ms, STREAM_SILENCE_MS)
+    return Waits(min(CONNECT_MS, left_ms), first_ms, between_ms)
 
 
 class AnswerCollector:
