--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -31,6 +31,9 @@
 
 IDLE_CHECK_MS = 50
 """How often a stop looks whether the open requests have ended."""
+QUIET_MS = 200
+"""How long none may have been open before the process ends: a connection that was accepted last
+may still bring its first request."""
 
 VALUE_IGNORED = define(
     2350, "value_ignored", "warning", "A value of the store cannot be read; it changes nothing."
@@ -126,9 +129,12 @@
         await self.releases.release_duty()
         await self.clock.sleep(min(stop.leave_ms, until_ms - self.clock.now()))
         self._listener.stop()
-        while self.clock.now() < until_ms:
+        quiet_since_ms = self.clock.now()
+        while (now := self.clock.now()) < until_ms:
             self._listener.close_idle()
-            if not self._listener.open_requests:
+            if self._listener.open_requests:
+                quiet_since_ms = now
+            elif now - quiet_since_ms >= QUIET_MS:
                 break
             await self.clock.sleep(IDLE_CHECK_MS)
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -47,6 +47,8 @@
 ABSENT_RETRY_MS = 1_000
 """When to come back while no endpoint is known: endpoints register about once a second."""
 HIGHEST_URGENCY = 9
+SIZE_RANK = 3
+"""How much less urgent a larger model is: what is read fast goes first."""
 EVENTS_FOR_PACE = 6
 """The fewest events that tell a stream's pace."""
 
@@ -289,7 +291,7 @@
             body=self._body,
             model=self._model if prompt is not None else "",
             after_event=progress.last_event,
-            urgency=min(priority, HIGHEST_URGENCY) if prompt is not None else None,
+            urgency=min(priority + SIZE_RANK * self._size, HIGHEST_URGENCY) if prompt is not None else None,
         )
 
     def _accepts(self, head: AnswerHead) -> bool:
