--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,8 @@
 TEST_TIMEOUT_S ?= 300
 
 PACKAGES := mastickeel mastickeel_router mastickeel_ctl mastickeel_standins
-SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
-CODE := packages tests bench
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src) platform/src
+CODE := packages platform tests bench
 STAMP := $(VENV)/installed
 
 empty :=
@@ -23,11 +23,12 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+$(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) \
+		platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -c constraints.txt \
 		-e packages/mastickeel -e packages/mastickeel_router \
-		-e packages/mastickeel_ctl -e "packages/mastickeel_standins[dev]"
+		-e packages/mastickeel_ctl -e platform -e "packages/mastickeel_standins[dev]"
 	touch $(STAMP)
 
 demo: setup
--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -379,9 +379,7 @@
     def release(self, connection: HttpConnection) -> None:
         """Gives a connection back after a whole exchange."""
         idle = self._idle_by_address[connection.address]
-        if (
-            connection.closed or connection.has_unread_bytes or len(idle) >= IDLE_PER_ADDRESS
-        ):
+        if connection.closed or connection.has_unread_bytes or len(idle) >= IDLE_PER_ADDRESS:
             connection.close()
             return
         connection.notice_closing()
--- a/packages/mastickeel/src/mastickeel/logs.py
+++ b/packages/mastickeel/src/mastickeel/logs.py
@@ -14,9 +14,7 @@
 LEVELS_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def configure(
-    level: str = "info", instance_id: str = "", stream: TextIO | None = None
-) -> None:
+def configure(level: str = "info", instance_id: str = "", stream: TextIO | None = None) -> None:
     """Sets up the logs of the process.
 
     Args:
--- a/packages/mastickeel_router/src/mastickeel_router/demo.py
+++ b/packages/mastickeel_router/src/mastickeel_router/demo.py
@@ -18,8 +18,8 @@
     Service,
     Version,
 )
-from mastickeel_router.process import stop_requested
 from mastickeel_router.router import Router
+from mastickeel_router.signals import stop_requested
 
 if TYPE_CHECKING:
     from mastickeel_standins.engine import EngineStandin
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mastickeel.addresses import Address
 from mastickeel.events import define
 from mastickeel.logs import log
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from mastickeel.addresses import Address
     from mastickeel.clock import Clock
 
 OUTAGE_GRACE_MS = 2_500
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/answer.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/answer.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from mastickeel.httpclient import ExchangeBrokenError
-from mastickeel_router.sse import EventSplitter, decode_event, event_sequence
 from mastickeel_router.requests import Usage
+from mastickeel_router.sse import EventSplitter, decode_event, event_sequence
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/__init__.py
@@ -1,4 +1,4 @@
-"""Gateway: a router that serves the routes which a store configures, with nothing of its own kept."""
+"""Gateway: a router that serves the routes that a store configures, and keeps nothing itself."""
 
 from mastickeel_router.gateway.deployment import Deployment
 from mastickeel_router.gateway.gateway import Gateway
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/deployment.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/deployment.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mastickeel._kvtypes import KeyValue, Put
     from mastickeel.storeport import Store
     from mastickeel_router.discovery import EndpointRecord
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -224,6 +224,4 @@
         def on_delete(key: str, revision: int) -> None:
             registry.remove(deployment.endpoint_of_key(key), revision)
 
-        return Reader(
-            on_list, on_put, on_delete, registry.begin_outage, registry.end_outage
-        )
+        return Reader(on_list, on_put, on_delete, registry.begin_outage, registry.end_outage)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from mastickeel.addresses import Address
+from mastickeel.addresses import Address  # noqa: TC001 - cattrs resolves it at run time
 from mastickeel.errors import SettingsError
 from mastickeel.logs import LEVELS_BY_NAME
 from mastickeel.settings import InstanceSettings, LogSettings, StoreSettings, read_text, structure
--- a/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
@@ -83,7 +83,9 @@
         if not admitted:
             return None
         home = self._home(admitted, demand)
-        scored = [(score(demand, self._candidate(one, demand, model, home)), one) for one in admitted]
+        scored = [
+            (score(demand, self._candidate(one, demand, model, home)), one) for one in admitted
+        ]
         best = min(cost for cost, _ in scored)
         return self._draw.choice([one for cost, one in scored if cost <= best + TIE_MS])
 
--- a/packages/mastickeel_router/src/mastickeel_router/placement/models.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/models.py
@@ -1,4 +1,4 @@
-"""Which of a route's models runs a request first, and when its answer is given up for a larger one."""
+"""Which of a route's models runs a request, and when its answer is given up for a larger one's."""
 
 from __future__ import annotations
 
--- a/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
@@ -1,4 +1,4 @@
-"""The cost of giving a request to an endpoint, in milliseconds: pure, from what is known of both."""
+"""The cost of giving a request to an endpoint, in milliseconds, from what is known of both."""
 
 from __future__ import annotations
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -218,9 +218,7 @@
             )
             step = next_step(result, self._route, situation, paid=paid)
             if result.end is not SendEnd.WHOLE or step is not Next.DELIVER:
-                self._log(
-                    SEND_ENDED, endpoint=endpoint.id, reason=result.reason, then=step.value
-                )
+                self._log(SEND_ENDED, endpoint=endpoint.id, reason=result.reason, then=step.value)
             if step is Next.SEND_AGAIN:
                 continue
             await self._finish(step, result)
@@ -291,7 +289,11 @@
             body=self._body,
             model=self._model if prompt is not None else "",
             after_event=progress.last_event,
-            urgency=min(priority + SIZE_RANK * self._size, HIGHEST_URGENCY) if prompt is not None else None,
+            urgency=(
+                min(priority + SIZE_RANK * self._size, HIGHEST_URGENCY)
+                if prompt is not None
+                else None
+            ),
         )
 
     def _accepts(self, head: AnswerHead) -> bool:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
@@ -27,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from tornado.http1connection import HTTP1Connection
+    from tornado.httputil import HTTPConnection
 
     from mastickeel.addresses import Address
     from mastickeel_router.routes import CallerLimits
@@ -43,8 +44,6 @@
     2330, "serve_failed", "error", "A request met an error that is a fault of ours; report it."
 )
 
-Serve = "Callable[[RequestHead, bytes, Responder], Awaitable[None]]"
-
 
 class HeadersTooLargeError(MastickeelError):
     """Raised when a request's headers are over the limit."""
@@ -142,9 +141,10 @@
             self._server.conn_params.header_timeout = limits.idle_ms / 1_000
 
     def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
+        self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Makes the reader of a connection's next request."""
+        assert isinstance(request_conn, HTTP1Connection)
         if server_conn not in self._readers_by_connection:
             limit_socket(request_conn.stream.socket)
         reader = _RequestReader(self, request_conn)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -218,23 +218,29 @@
         )
 
     async def _pass_on(self, events: list[bytes]) -> None:
-        """Passes whole events on, in order and each once."""
-        fresh = [event for event in events if self._is_next(event)]
-        if fresh:
-            await self._write(b"".join(fresh))
+        """Passes whole events on, in order and each once.
 
-    def _is_next(self, event: bytes) -> bool:
-        """Says whether an event goes on; one that the caller has already is left out."""
-        number = event_sequence(event)
-        if number is None:
-            return True
+        Raises:
+            StreamGapError: After what came before the gap has been passed on.
+        """
+        fresh: list[bytes] = []
         last = self._progress.last_event
-        if last is not None and number <= last:
-            return False
-        if last is not None and number != last + 1:
-            raise StreamGapError(f"Event {number} came after {last}.")
-        self._progress.last_event = number
-        return True
+        gap = ""
+        for event in events:
+            number = event_sequence(event)
+            if number is not None and last is not None:
+                if number <= last:
+                    continue
+                if number != last + 1:
+                    gap = f"Event {number} came after {last}."
+                    break
+            last = last if number is None else number
+            fresh.append(event)
+        if fresh:
+            self._progress.last_event = last
+            await self._write(b"".join(fresh))
+        if gap:
+            raise StreamGapError(gap)
 
     async def _write(self, data: bytes) -> None:
         """Writes to the caller; the head goes with the first event."""
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -1,12 +1,13 @@
-"""What a request, a send and an answer are inside the relay, whatever they look like on the wire."""
+"""What a request, a send and an answer are inside the relay, however they look on the wire."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tornado.httputil import HTTPHeaders
 
     from mastickeel.errors import MastickeelError
--- a/packages/mastickeel_router/src/mastickeel_router/releases/judgement.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/judgement.py
@@ -14,7 +14,7 @@
     from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan
 
 FIRST_SHARE = 0.12
-"""The target's share in the first half: under the 0.15 of all requests that a bad version may get."""
+"""The target's share in the first half: below the 0.15 of all requests that a bad one may get."""
 SECOND_SHARE = 0.5
 SECOND_FROM = 0.5
 """The part of the release's time after which sessions may move to the target."""
@@ -50,7 +50,10 @@
         Args:
             blocks_by_route: Counts since the order.
         """
-        for route, block in [*blocks_by_route.items(), (ALL_ROUTES, _sum(blocks_by_route.values()))]:
+        for route, block in [
+            *blocks_by_route.items(),
+            (ALL_ROUTES, _sum(blocks_by_route.values())),
+        ]:
             seen = self._seen_by_route.get(route, Block())
             fresh = _difference(block, seen)
             if fresh is None:
@@ -103,6 +106,4 @@
     )
     if not fresh.new and not fresh.old:
         return None
-    return Block(
-        fresh.new, min(fresh.new, fresh.new_bad), fresh.old, min(fresh.old, fresh.old_bad)
-    )
+    return Block(fresh.new, min(fresh.new, fresh.new_bad), fresh.old, min(fresh.old, fresh.old_bad))
--- a/packages/mastickeel_router/src/mastickeel_router/releases/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from mastickeel_router.sequential import Block
+from mastickeel_router.sequential import Block  # noqa: TC001 - msgspec resolves it at run time
 
 
 class ReleaseState(StrEnum):
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -204,9 +204,7 @@
                 running.append(service)
         return running
 
-    def _version_is_target(
-        self, request: CallerRequest, order: ReleaseOrder, share: float
-    ) -> bool:
+    def _version_is_target(self, request: CallerRequest, order: ReleaseOrder, share: float) -> bool:
         """Says whether a request goes to the target, the same on every instance."""
         known = self._sessions.get(request.session) if request.session else None
         if known is not None and self._clock.now() - known[1] < self._session_gap_ms:
@@ -226,15 +224,9 @@
             if not self._running():
                 await self._clock.sleep(WATCH_CHECK_MS)
                 continue
-            reader = Reader(
-                lambda items, _: [self._take_plan(item) for item in items] and None,
-                self._take_plan,
-                lambda key, revision: None,
-            )
+            reader = Reader(self._take_plans, self._take_plan, lambda key, revision: None)
             following = asyncio.ensure_future(
-                follow(
-                    self._store, self._plans_prefix, reader, clock=self._clock, draw=self._draw
-                )
+                follow(self._store, self._plans_prefix, reader, clock=self._clock, draw=self._draw)
             )
             try:
                 while self._running() and not following.done():
@@ -243,6 +235,10 @@
                 following.cancel()
                 await asyncio.gather(following, return_exceptions=True)
 
+    def _take_plans(self, items: tuple[KeyValue, ...], revision: int) -> None:
+        for item in items:
+            self._take_plan(item)
+
     def _take_plan(self, item: KeyValue) -> None:
         try:
             plan = msgspec.json.decode(item.value, type=ReleasePlan)
--- /dev/null
+++ b/tests/mastickeel_platform/path.py
@@ -0,0 +1,108 @@
+"""Runs a gateway with stand-ins of the platform around it, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from mastickeel.clock import Clock
+from mastickeel_platform.deployment import make_deployment
+from mastickeel_router.gateway import Gateway, parse
+from tests.mastickeel_platform.standins import (
+    RawServer,
+    Reply,
+    Request,
+    StoreStandIn,
+    call,
+    configuration,
+    entry,
+    request_bytes,
+    route,
+)
+
+if TYPE_CHECKING:
+    from tests.mastickeel_platform.standins import Respond
+
+SETTINGS = """
+[instance]
+id = "edge-1"
+data_centre = "dc-a"
+region = "r"
+[callers]
+listen = "127.0.0.1:0"
+[health]
+listen = "127.0.0.1:0"
+path = "/readyz"
+[store]
+urls = ["127.0.0.1:{port}"]
+timeout_ms = 300
+[repeats]
+ratio = 0.9
+slack = 160
+[stop]
+leave_ms = 10
+grace_ms = 3000
+[logs]
+level = "error"
+"""
+TRIES = 400
+ROUND_S = 0.02
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """A gateway between callers and endpoints that the test writes."""
+
+    ROUTES = (
+        route("once", "unsafe", max_attempts=1),
+        route("look", "safe", max_attempts=2),
+        route("draft", "streaming"),
+        route("open", "safe", public=True),
+    )
+
+    async def asyncSetUp(self) -> None:
+        self.store = StoreStandIn()
+        self.endpoints: list[RawServer] = []
+        store_port = await self.store.server.start()
+        self.store.put("op/config", configuration(7, *self.ROUTES))
+        settings = parse(SETTINGS.format(port=store_port))
+        self.gateway = Gateway(
+            settings, Clock(), lambda client: make_deployment(client, settings), seed=1
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.gateway.stop()
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+        await self.store.server.stop()
+
+    async def begin(self, *responds: Respond, **changes: Any) -> None:
+        """Starts an endpoint for each function, then the gateway, and waits until it is ready."""
+        for respond in responds:
+            await self.add_endpoint(respond, **changes)
+        await self.gateway.start()
+        await self.until(lambda: self.gateway.ready)
+
+    async def add_endpoint(self, respond: Respond, **changes: Any) -> RawServer:
+        """Starts an endpoint and writes its entry."""
+        endpoint = RawServer(respond)
+        self.endpoints.append(endpoint)
+        port = await endpoint.start()
+        self.store.put(f"servers/i-{len(self.endpoints)}", entry(port, **changes))
+        return endpoint
+
+    async def until(self, condition: Any) -> None:
+        """Waits until something holds; fails when it never does."""
+        for _ in range(TRIES):
+            if condition():
+                return
+            await asyncio.sleep(ROUND_S)
+        self.fail("what was waited for did not come about")
+
+    async def ask(self, path: str, request_id: str = "a1", **parts: Any) -> Reply:
+        """Sends a request as a caller does."""
+        return await call(self.gateway.callers_port, request_bytes(path, request_id, **parts))
+
+    def arrivals(self) -> list[Request]:
+        """Returns every request that reached an endpoint."""
+        return [request for endpoint in self.endpoints for request in endpoint.requests]
--- /dev/null
+++ b/tests/mastickeel_platform/standins.py
@@ -0,0 +1,408 @@
+"""Small stand-ins of the platform: its store, an endpoint that may misbehave, and the operator."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+WATCH_ROUND_S = 0.02
+WATCH_ROUNDS = 5
+
+
+@dataclass
+class Request:
+    """A request as it came over the wire."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader = field(repr=False)
+
+    async def left(self) -> None:
+        """Waits until the other end closes the connection."""
+        with contextlib.suppress(ConnectionError):
+            await self.reader.read(1)
+
+    @property
+    def id(self) -> str:
+        return self.headers.get("attempt-id", "")
+
+
+Respond = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
+
+
+class RawServer:
+    """Reads HTTP requests and lets a function write whatever bytes it likes."""
+
+    def __init__(self, respond: Respond) -> None:
+        self.respond = respond
+        self.requests: list[Request] = []
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> int:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while (request := await _read_request(reader)) is not None:
+                self.requests.append(request)
+                await self.respond(request, writer)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            return
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Request | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = head.decode("latin1").split("\r\n")[:-2]
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Request(method, target, headers, body, reader)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def answer(
+    request: Request,
+    body: bytes = b"done",
+    *,
+    status: str = "200 OK",
+    extra: str = "",
+    request_id: str | None = None,
+    length: int | None = None,
+    signature: bool = True,
+) -> bytes:
+    """Returns the bytes of a plain answer."""
+    lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {request_id or request.id}"]
+    if signature:
+        lines.append("Server-Seal: 3e1b.07")
+    lines.append(f"Content-Length: {len(body) if length is None else length}")
+    if extra:
+        lines.append(extra)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head(request: Request, extra: str = "") -> bytes:
+    """Returns the head of a stream of events."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"Attempt-Id: {request.id}",
+        "Server-Seal: 3e1b.07",
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+    ]
+    if extra:
+        lines.append(extra)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+@dataclass
+class StoreStandIn:
+    """The platform's metadata store in memory."""
+
+    revision: int = 10
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    history: list[dict[str, Any]] = field(default_factory=list)
+    kept_from: int = 0
+    """Watches from before this revision get 410."""
+    refusing: int = 0
+    """A status with which every call is refused; 0 to serve."""
+    silent: bool = False
+    """Whether calls get no answer."""
+    page_size: int = 500
+    leases: dict[int, int] = field(default_factory=dict)
+    calls: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.server = RawServer(self._respond)
+
+    def put(self, key: str, value: Any, lease: int = 0) -> int:
+        """Writes as the operator or an endpoint does."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self.history.append(item)
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Removes a key."""
+        self.revision += 1
+        del self.items[key]
+        self.history.append({"key": key, "revision": self.revision, "deleted": True})
+
+    def read(self, key: str) -> Any:
+        """Returns a key's JSON; None when it does not exist."""
+        item = self.items.get(key)
+        return None if item is None else json.loads(base64.b64decode(item["value"]))
+
+    def lose_history(self) -> None:
+        """Forgets what happened before now."""
+        self.history.clear()
+        self.kept_from = self.revision
+
+    async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        self.calls.append(f"{request.method} {urlsplit(request.target).path}")
+        if self.silent:
+            await asyncio.Event().wait()
+        status, body = self.refusing, {"error": "refused"}
+        if not self.refusing:
+            status, body = await self._carry_out(request)
+        data = json.dumps(body).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+        writer.write(head.encode() + f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+
+    async def _carry_out(self, request: Request) -> tuple[int, dict[str, Any]]:
+        url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        body = json.loads(request.body) if request.body else {}
+        if url.path == "/kv-key":
+            item = self.items.get(query["key"])
+            return (200, item | {"store_revision": self.revision}) if item else (404, {})
+        if url.path == "/kv-range":
+            return 200, self._range(query)
+        if url.path == "/kv-watch":
+            return await self._watch(query)
+        if url.path == "/kv-txn":
+            return self._txn(body)
+        if url.path == "/kv-lease":
+            lease = len(self.leases) + 1
+            self.leases[lease] = body["ttl_ms"]
+            return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+        lease = int(url.path.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return 404, {}
+        if url.path.startswith("/kv-lease-end/"):
+            self.end_lease(lease)
+        return 200, {"ttl_ms": 1000}
+
+    def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        del self.leases[lease]
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.delete(key)
+
+    def _range(self, query: dict[str, str]) -> dict[str, Any]:
+        after = query.get("after_revision", "")
+        keys = sorted(k for k in self.items if k.startswith(query["path_prefix"]) and k > after)
+        page = [self.items[key] for key in keys[: self.page_size]]
+        more = len(keys) > self.page_size
+        return {"items": page, "more_pages": more, "store_revision": self.revision}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after_revision"])
+        for pause_s in (*[WATCH_ROUND_S] * WATCH_ROUNDS, 0):
+            if after < self.kept_from:
+                return 410, {}
+            events = [
+                one
+                for one in self.history
+                if one["revision"] > after and one["key"].startswith(query["path_prefix"])
+            ]
+            if events:
+                break
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        return 200, {"events": events, "store_revision": self.revision}
+
+    def _txn(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        rows = body["expected_revision"]
+        if any(
+            self.items.get(row["key"], {}).get("revision", 0) != row["revision"] for row in rows
+        ):
+            found = [self.items[row["key"]] for row in rows if row["key"] in self.items]
+            return 412, {"items": found}
+        if any(put["lease"] and put["lease"] not in self.leases for put in body["puts"]):
+            return 404, {}
+        for put in body["puts"]:
+            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        for key in body["remove"]:
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+
+def entry(port: int, **changes: Any) -> dict[str, Any]:
+    """Returns an endpoint's entry."""
+    fields = {
+        "service": "register",
+        "address": f"127.0.0.1:{port}",
+        "zone": "dc-a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    }
+    return fields | changes
+
+
+def route(name: str, kind: str, service: str = "register", **changes: Any) -> dict[str, Any]:
+    """Returns a route of the operator's configuration."""
+    fields = {
+        "name": name,
+        "host": "desk.example",
+        "path_prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 5_000,
+        "slo_ms": 1_000,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 3,
+        "public": False,
+        "resumable": kind == "streaming",
+    }
+    return fields | changes
+
+
+def configuration(version: int, *routes: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    """Returns an operator's configuration."""
+    fields = {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": "register", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": 20_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{"name": "gmina", "api_keys": ["key-1"], "priority": 0}],
+    }
+    return fields | changes
+
+
+@dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    """Whether the answer came to its end."""
+
+
+async def call(port: int, data: bytes, *, half_close: bool = False) -> Reply:
+    """Sends raw bytes on a new connection and reads one answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(data)
+        await writer.drain()
+        if half_close:
+            writer.write_eof()
+        return await read_reply(reader)
+    finally:
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Reads one answer; status 0 when the connection ended without one."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(0, {}, b"", False)
+    first, *lines = head.decode("latin1").split("\r\n")[:-2]
+    headers = {line.partition(":")[0].lower(): line.partition(":")[2].strip() for line in lines}
+    status = int(first.split(" ")[1])
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            return Reply(status, headers, await _read_chunks(reader), True)
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return Reply(status, headers, body, True)
+    except _CutError as error:
+        return Reply(status, headers, error.body, False)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(status, headers, b"", False)
+
+
+class _CutError(Exception):
+    """Carries the body of an answer that was cut."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b""
+    try:
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            data = await reader.readexactly(size + 2)
+            if size == 0:
+                return body
+            body += data[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        raise _CutError(body) from error
+
+
+def request_bytes(
+    path: str, request_id: str = "a1", *, method: str = "POST", body: bytes = b"", headers: str = ""
+) -> bytes:
+    """Returns the bytes of a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: desk.example",
+        f"Attempt-Id: {request_id}",
+        "Deadline-Ms: 4000",
+        "Authorization: Bearer key-1",
+        f"Content-Length: {len(body)}",
+    ]
+    if headers:
+        lines.append(headers)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/mastickeel_platform/test_answers.py
@@ -0,0 +1,277 @@
+"""Answers reach their callers whole and unchanged, whatever endpoints do."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from tests.mastickeel_platform.path import PathTest
+from tests.mastickeel_platform.standins import (
+    Request,
+    answer,
+    call,
+    chunk,
+    event,
+    read_reply,
+    request_bytes,
+    reset,
+    stream_head,
+)
+
+
+async def respond_whole(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, b"filed " + request.body, extra="X-Kept: yes"))
+
+
+async def respond_not_run(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, b"", status="503 Full", extra="Not-Executed: 1", signature=False))
+
+
+async def respond_reset(request: Request, writer: asyncio.StreamWriter) -> None:
+    reset(writer)
+
+
+async def respond_failing(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, b"broken", status="500 Error"))
+
+
+class WholeAnswerTest(PathTest):
+    """Plain services."""
+
+    async def test_request_and_answer_are_unchanged(self) -> None:
+        await self.begin(respond_whole)
+        reply = await self.ask("/once/a%2Fb?x=%20&y", body=b"\x00order\xff")
+        self.assertEqual((reply.status, reply.body), (200, b"filed \x00order\xff"))
+        self.assertEqual(reply.headers["server-seal"], "3e1b.07")
+        self.assertEqual(reply.headers["x-kept"], "yes")
+        sent = self.arrivals()[0]
+        self.assertEqual((sent.method, sent.target), ("POST", "/once/a%2Fb?x=%20&y"))
+        self.assertEqual(sent.body, b"\x00order\xff")
+
+    async def test_endpoint_gets_what_only_the_router_may_say(self) -> None:
+        await self.begin(respond_whole)
+        forged = "Tenant: other\r\nHold: 1\r\nPin-Ms: 9\r\nKv-From: x\r\nKv-Backup: y"
+        await self.ask("/once/a", headers=forged)
+        headers = self.arrivals()[0].headers
+        self.assertEqual(headers["tenant"], "gmina")
+        self.assertEqual(headers["expect-instance"], "i-1")
+        self.assertLessEqual(int(headers["deadline-ms"]), 4_000)
+        for name in ("authorization", "hold", "pin-ms", "kv-from", "kv-backup"):
+            self.assertNotIn(name, headers)
+
+    async def test_chunked_request_arrives_whole(self) -> None:
+        await self.begin(respond_whole)
+        head = request_bytes("/once/a").replace(b"Content-Length: 0\r\n", b"")
+        head = head[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+        reply = await call(
+            self.gateway.callers_port, head + chunk(b"one") + chunk(b"two") + chunk(b"")
+        )
+        self.assertEqual(reply.body, b"filed onetwo")
+
+    async def test_short_answer_is_a_failure_of_unknown_outcome(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"half", length=100))
+            await writer.drain()
+            writer.close()
+
+        await self.begin(respond)
+        reply = await self.ask("/once/a")
+        self.assertEqual(reply.status, 502)
+        self.assertNotIn("server-seal", reply.headers)
+        self.assertEqual(json.loads(reply.body)["ran"], "unknown")
+        self.assertEqual(len(self.arrivals()), 1)
+
+    async def test_unframed_answer_that_is_reset_is_not_complete(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.id}\r\nServer-Seal: s\r\n\r\n"
+            writer.write(head.encode() + b"half")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        await self.begin(respond)
+        self.assertEqual((await self.ask("/once/a")).status, 502)
+
+    async def test_answer_to_another_request_is_read_past(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"not yours", request_id="zz") + answer(request, b"yours"))
+
+        await self.begin(respond)
+        self.assertEqual((await self.ask("/once/a")).body, b"yours")
+
+    async def test_only_an_answer_to_another_request_is_a_failure(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"not yours", request_id="zz"))
+            await writer.drain()
+            writer.close()
+
+        await self.begin(respond)
+        reply = await self.ask("/once/a")
+        self.assertEqual(reply.status, 502)
+        self.assertNotIn(b"not yours", reply.body)
+
+    async def test_doubled_answer_reaches_no_later_request(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, request.id.encode()) * 2)
+
+        await self.begin(respond)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        for number in range(4):
+            writer.write(request_bytes("/look/a", f"r{number}"))
+            self.assertEqual((await read_reply(reader)).body, f"r{number}".encode())
+        writer.close()
+
+    async def test_encoded_answer_is_no_answer(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"\x1f\x8b", extra="Content-Encoding: gzip"))
+
+        await self.begin(respond)
+        self.assertEqual((await self.ask("/once/a")).status, 502)
+
+    async def test_success_without_signature_is_no_answer(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"x", signature=False))
+
+        await self.begin(respond)
+        self.assertEqual((await self.ask("/once/a")).status, 502)
+
+    async def test_bytes_that_are_no_answer(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"garbage garbage\r\n\r\n")
+            await writer.drain()
+            writer.close()
+
+        await self.begin(respond)
+        self.assertEqual((await self.ask("/once/a")).status, 502)
+
+    async def test_early_answer_before_a_long_body_is_read(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"too long", status="413 Large"))
+
+        await self.begin(respond)
+        reply = await self.ask("/once/a", body=b"x" * 15_000)
+        self.assertEqual((reply.status, reply.body), (413, b"too long"))
+
+
+class RepeatTest(PathTest):
+    """What may be sent again, and what a refusal says."""
+
+    async def test_once_is_never_sent_again(self) -> None:
+        await self.begin(respond_reset, respond_reset)
+        reply = await self.ask("/once/a")
+        self.assertEqual((reply.status, len(self.arrivals())), (502, 1))
+
+    async def test_refused_once_is_refused_as_not_run_with_a_time_to_come_back(self) -> None:
+        await self.begin(respond_not_run)
+        reply = await self.ask("/once/a")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(json.loads(reply.body)["ran"], "no")
+        self.assertGreater(float(reply.headers["retry-after"]), 0)
+
+    async def test_full_status_without_the_mark_promises_nothing(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"", status="503 Busy"))
+
+        await self.begin(respond)
+        self.assertEqual((await self.ask("/once/a")).status, 502)
+
+    async def test_repeatable_goes_to_another_endpoint(self) -> None:
+        await self.begin(respond_reset, respond_whole)
+        replies = [await self.ask("/look/a", f"r{number}") for number in range(6)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+
+    async def test_failure_of_a_repeatable_is_tried_elsewhere_and_passed_on_at_last(self) -> None:
+        await self.begin(respond_failing, respond_failing)
+        reply = await self.ask("/look/a")
+        self.assertEqual((reply.status, reply.body, len(self.arrivals())), (500, b"broken", 2))
+
+    async def test_address_of_another_endpoint_is_not_run(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(request, b"", status="421 Misdirected", signature=False))
+
+        await self.begin(respond)
+        reply = await self.ask("/once/a")
+        self.assertEqual((reply.status, json.loads(reply.body)["ran"]), (503, "no"))
+
+    async def test_caller_that_leaves_ends_the_work(self) -> None:
+        left = asyncio.Event()
+
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            await request.left()
+            left.set()
+
+        await self.begin(respond)
+        _, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        writer.write(request_bytes("/look/a"))
+        await self.until(lambda: self.arrivals())
+        writer.close()
+        await asyncio.wait_for(left.wait(), 5)
+
+    async def test_time_of_the_route_ends_the_wait(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            await asyncio.Event().wait()
+
+        await self.begin(respond)
+        wait = request_bytes("/look/a").replace(b"Deadline-Ms: 4000", b"Deadline-Ms: 150")
+        reply = await call(self.gateway.callers_port, wait)
+        self.assertEqual((reply.status, json.loads(reply.body)["ran"]), (504, "unknown"))
+
+
+class StreamTest(PathTest):
+    """Streams of events."""
+
+    async def test_events_arrive_in_order_and_end(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(stream_head(request))
+            data = event(1) + event(2) + event(3)
+            for place in range(0, len(data), 7):
+                writer.write(chunk(data[place : place + 7]))
+            writer.write(chunk(b""))
+
+        await self.begin(respond)
+        reply = await self.ask("/draft/a")
+        self.assertTrue(reply.whole)
+        self.assertEqual(reply.body, event(1) + event(2) + event(3))
+        self.assertEqual(reply.headers["server-seal"], "3e1b.07")
+
+    async def test_broken_stream_goes_on_elsewhere_after_the_last_whole_event(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(stream_head(request))
+            after = request.headers.get("last-event-id")
+            if after is None:
+                writer.write(chunk(event(1) + event(2) + event(3)[:9]))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                reset(writer)
+                return
+            rest = b"".join(event(number) for number in range(int(after) + 1, 5))
+            writer.write(chunk(rest) + chunk(b""))
+
+        await self.begin(respond, respond)
+        reply = await self.ask("/draft/a")
+        self.assertTrue(reply.whole)
+        self.assertEqual(reply.body, b"".join(event(number) for number in range(1, 5)))
+        self.assertEqual(self.arrivals()[-1].headers["last-event-id"], "2")
+
+    async def test_stream_that_skips_an_event_never_looks_complete(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(stream_head(request) + chunk(event(1)) + chunk(event(3)) + chunk(b""))
+
+        await self.begin(respond)
+        reply = await self.ask("/draft/a")
+        self.assertFalse(reply.whole)
+        self.assertEqual(reply.body, event(1))
+
+    async def test_caller_that_resumes_gets_the_rest(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            start = int(request.headers["last-event-id"]) + 1
+            writer.write(stream_head(request) + chunk(event(start)) + chunk(b""))
+
+        await self.begin(respond)
+        reply = await self.ask("/draft/a", headers="Last-Event-Id: 4")
+        self.assertEqual(reply.body, event(5))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_platform/test_bad_input.py
@@ -0,0 +1,103 @@
+"""Requests that are no good get a typed answer with a remedy, and reach no endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from tests.mastickeel_platform.path import PathTest
+from tests.mastickeel_platform.standins import Request, answer, call, request_bytes
+
+
+async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request))
+
+
+class BadInputTest(PathTest):
+    """What callers may send wrong."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.begin(respond)
+
+    async def expect(self, data: bytes, status: int, code: str) -> None:
+        reply = await call(self.gateway.callers_port, data)
+        self.assertEqual(reply.status, status)
+        problem = json.loads(reply.body)
+        self.assertEqual(problem["code"], code)
+        self.assertTrue(problem["remedy"])
+        self.assertEqual(self.arrivals(), [])
+
+    async def expect_end(self, data: bytes) -> None:
+        """Expects a refusal or the connection's end, and nothing at an endpoint."""
+        reply = await call(self.gateway.callers_port, data, half_close=True)
+        self.assertIn(reply.status, (0, 400))
+        self.assertEqual(self.arrivals(), [])
+
+    async def test_no_route(self) -> None:
+        await self.expect(request_bytes("/nowhere/a"), 404, "not_found")
+
+    async def test_prefix_without_its_slash_is_no_route(self) -> None:
+        await self.expect(request_bytes("/once"), 404, "not_found")
+
+    async def test_unknown_key(self) -> None:
+        data = request_bytes("/once/a").replace(b"key-1", b"key-x")
+        await self.expect(data, 401, "unauthorized")
+
+    async def test_no_key(self) -> None:
+        data = request_bytes("/once/a").replace(b"Authorization: Bearer key-1\r\n", b"")
+        await self.expect(data, 401, "unauthorized")
+
+    async def test_public_route_needs_no_key(self) -> None:
+        data = request_bytes("/open/a").replace(b"Authorization: Bearer key-1\r\n", b"")
+        self.assertEqual((await call(self.gateway.callers_port, data)).status, 200)
+
+    async def test_no_id(self) -> None:
+        data = request_bytes("/once/a").replace(b"Attempt-Id: a1\r\n", b"")
+        await self.expect(data, 400, "bad_request")
+
+    async def test_deadline_that_is_no_number(self) -> None:
+        data = request_bytes("/once/a").replace(b"4000", b"soon")
+        await self.expect(data, 400, "bad_request")
+
+    async def test_prompt_that_is_none(self) -> None:
+        headers = "Model: m\r\nToken-Count: many"
+        await self.expect(request_bytes("/draft/a", headers=headers), 400, "bad_request")
+
+    async def test_headers_over_the_limit(self) -> None:
+        data = request_bytes("/once/a", headers="X-Long: " + "x" * 5_000)
+        await self.expect(data, 431, "headers_too_large")
+
+    async def test_body_over_the_limit(self) -> None:
+        await self.expect(request_bytes("/once/a", body=b"x" * 20_001), 413, "body_too_large")
+
+    async def test_chunked_body_over_the_limit(self) -> None:
+        head = request_bytes("/once/a").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        chunks = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+        await self.expect(head + chunks * 2, 413, "body_too_large")
+
+    async def test_request_line_that_is_no_http(self) -> None:
+        await self.expect_end(b"HELLO\r\n\r\n")
+
+    async def test_two_lengths(self) -> None:
+        data = request_bytes("/once/a", headers="Content-Length: 5") + b"hello"
+        await self.expect_end(data)
+
+    async def test_length_and_chunks(self) -> None:
+        data = request_bytes("/once/a", headers="Transfer-Encoding: chunked") + b"0\r\n\r\n"
+        await self.expect_end(data)
+
+    async def test_chunk_size_that_is_none(self) -> None:
+        head = request_bytes("/once/a").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        await self.expect_end(head + b"xyz\r\nhello\r\n0\r\n\r\n")
+
+    async def test_request_smuggled_in_a_body_is_a_body(self) -> None:
+        inner = request_bytes("/once/inner", "smuggled")
+        reply = await call(self.gateway.callers_port, request_bytes("/once/a", "outer", body=inner))
+        self.assertEqual(reply.status, 200)
+        self.assertEqual([request.id for request in self.arrivals()], ["outer"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_platform/test_gateway.py
@@ -0,0 +1,131 @@
+"""The gateway follows the platform's store: configuration, endpoints, readiness, stops."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from tests.mastickeel_platform.path import PathTest
+from tests.mastickeel_platform.standins import (
+    Request,
+    answer,
+    call,
+    configuration,
+    entry,
+    read_reply,
+    request_bytes,
+    route,
+)
+
+
+async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, request.headers["expect-instance"].encode()))
+
+
+class FollowTest(PathTest):
+    """What the operator and the endpoints write takes hold."""
+
+    async def ready_status(self) -> int:
+        data = b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"
+        return (await call(self.gateway.health_port, data)).status
+
+    async def test_ready_only_with_a_configuration(self) -> None:
+        self.store.delete("op/config")
+        await self.gateway.start()
+        await self.until(lambda: self.gateway.registry.loaded)
+        self.assertEqual(await self.ready_status(), 503)
+        reply = await self.ask("/once/a")
+        self.assertEqual((reply.status, json.loads(reply.body)["ran"]), (503, "no"))
+        self.store.put("op/config", configuration(7, *self.ROUTES))
+        await self.until(lambda: self.gateway.ready)
+        self.assertEqual(await self.ready_status(), 200)
+
+    async def test_newer_version_takes_hold_and_an_older_never(self) -> None:
+        await self.begin(respond)
+        newer = [*self.ROUTES, route("new", "safe")]
+        self.store.put("op/config", configuration(9, *newer))
+        await self.until(lambda: self.gateway.table.configuration.version == 9)
+        self.assertEqual((await self.ask("/new/a")).status, 200)
+        self.store.put("op/config", configuration(8))
+        self.store.put("op/config", b"not json")
+        self.store.put("op/config", configuration(10, *newer, tenants=[]))
+        await self.until(lambda: self.gateway.table.configuration.version == 10)
+        self.assertEqual((await self.ask("/new/a")).status, 401)
+
+    async def test_lost_history_is_read_again_without_going_back(self) -> None:
+        await self.begin(respond)
+        self.store.put("op/config", configuration(9, *self.ROUTES))
+        self.store.put("op/config", configuration(6))
+        self.store.lose_history()
+        await asyncio.sleep(0.1)
+        self.assertIn(self.gateway.table.configuration.version, (7, 9))
+        self.store.put("op/config", configuration(11, route("late", "safe")))
+        await self.until(lambda: self.gateway.table.configuration.version == 11)
+
+    async def test_outage_ends_without_a_restart(self) -> None:
+        await self.begin(respond)
+        self.store.refusing = 503
+        await asyncio.sleep(0.3)
+        self.assertEqual((await self.ask("/once/a")).status, 200)
+        self.store.refusing = 0
+        self.store.put("op/config", configuration(9, *self.ROUTES))
+        await self.until(lambda: self.gateway.table.configuration.version == 9)
+
+    async def test_draining_and_gone_endpoints_get_nothing(self) -> None:
+        await self.begin(respond, respond)
+        self.store.put("servers/i-1", entry(self.endpoints[0].port, state="draining"))
+        await self.until(lambda: len(self.gateway.registry.usable("register")) == 1)
+        for number in range(5):
+            self.assertEqual((await self.ask("/once/a", f"r{number}")).body, b"i-2")
+        self.store.delete("servers/i-2")
+        await self.until(lambda: not self.gateway.registry.usable("register"))
+        reply = await self.ask("/once/a")
+        self.assertEqual((reply.status, json.loads(reply.body)["ran"]), (503, "no"))
+
+    async def test_entries_of_another_writer_name_no_endpoint(self) -> None:
+        for number, value in enumerate(
+            (
+                b"\xff\xfe",
+                {"service": "register"},
+                entry(1, state="resting"),
+                entry(1, address="nowhere"),
+                entry(1, slots="four"),
+            )
+        ):
+            self.store.put(f"servers/odd-{number}", value)
+        await self.begin(respond)
+        self.assertEqual([one.id for one in self.gateway.registry.all()], ["i-1"])
+
+    async def test_stop_cuts_no_request(self) -> None:
+        go = asyncio.Event()
+
+        async def slow(request: Request, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(answer(request, b"late"))
+
+        await self.begin(slow)
+        asking = asyncio.ensure_future(self.ask("/once/a"))
+        await self.until(lambda: self.arrivals())
+        draining = asyncio.ensure_future(self.gateway.drain())
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.gateway.ready)
+        self.assertFalse(draining.done())
+        go.set()
+        reply = await asking
+        self.assertEqual(reply.body, b"late")
+        await draining
+
+    async def test_stop_closes_idle_connections_and_asks_for_new_ones(self) -> None:
+        await self.begin(respond)
+        idle, idle_writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        idle_writer.write(request_bytes("/look/a"))
+        self.assertEqual((await read_reply(idle)).status, 200)
+        draining = asyncio.ensure_future(self.gateway.drain())
+        self.assertEqual(await idle.read(), b"")
+        await draining
+        idle_writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_platform/test_store.py
@@ -0,0 +1,116 @@
+"""The platform's store behind the router's port."""
+
+from __future__ import annotations
+
+import unittest
+
+from mastickeel.addresses import Address
+from mastickeel.clock import Clock
+from mastickeel.errors import (
+    StoreCompactedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from mastickeel.httpclient import HttpClient
+from mastickeel.keyvalue import Compare, Delete, Get, Put
+from mastickeel_platform.store import PlatformStore
+from tests.mastickeel_platform.standins import StoreStandIn
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Each call and each status that the page of the platform names."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = StoreStandIn()
+        port = await self.platform.server.start()
+        self.http = HttpClient(Clock())
+        self.store = PlatformStore(self.http, Address("127.0.0.1", port), timeout_ms=200)
+
+    async def asyncTearDown(self) -> None:
+        await self.http.close()
+        await self.platform.server.stop()
+
+    async def test_get_and_missing_key(self) -> None:
+        revision = self.platform.put("a/b", b"\x00\xff")
+        found = await self.store.get("a/b")
+        assert found is not None
+        self.assertEqual((found.value, found.mod_revision), (b"\x00\xff", revision))
+        self.assertIsNone(await self.store.get("a/c"))
+
+    async def test_range_reads_every_page_and_keeps_the_first_revision(self) -> None:
+        self.platform.page_size = 2
+        for name in "abcde":
+            self.platform.put(f"p/{name}", b"x")
+        self.platform.put("q/a", b"x")
+        found = await self.store.range("p/", prefix=True)
+        self.assertEqual([item.key for item in found.items], [f"p/{name}" for name in "abcde"])
+        self.assertEqual(found.revision, self.platform.revision)
+
+    async def test_conditions(self) -> None:
+        free = Compare("a", "CREATE", 0)
+        first = await self.store.txn((free,), (Put("a", b"1"),), (Get("a"),))
+        self.assertTrue(first.succeeded)
+        second = await self.store.txn((free,), (Put("a", b"2"),), (Get("a"),))
+        self.assertFalse(second.succeeded)
+        self.assertEqual([item.value for item in second.found], [b"1"])
+        held = Compare("a", "MOD", first.revision)
+        self.assertTrue((await self.store.txn((held,), (Delete("a"),))).succeeded)
+        self.assertIsNone(await self.store.get("a"))
+
+    async def test_lease_ends_with_its_keys(self) -> None:
+        lease = await self.store.grant(3)
+        self.assertEqual(self.platform.leases[lease], 3_000)
+        await self.store.txn((), (Put("a", b"1", lease),))
+        self.assertTrue(await self.store.keep_alive(lease))
+        await self.store.revoke(lease)
+        self.assertIsNone(await self.store.get("a"))
+        self.assertFalse(await self.store.keep_alive(lease))
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.txn((), (Put("a", b"1", lease),))
+
+    async def test_watch_gives_each_event_in_order(self) -> None:
+        start = self.platform.revision
+        self.platform.put("p/a", b"1")
+        self.platform.delete("p/a")
+        self.platform.put("p/a", b"2")
+        seen = []
+        async for batch in self.store.watch("p/", start + 1):
+            seen += [item.value for item in batch.puts] + list(batch.deletes)
+            if len(seen) == 3:
+                break
+        self.assertEqual(seen, [b"1", "p/a", b"2"])
+
+    async def test_lost_history(self) -> None:
+        start = self.platform.revision
+        self.platform.put("p/a", b"1")
+        self.platform.lose_history()
+        with self.assertRaises(StoreCompactedError):
+            async for _ in self.store.watch("p/", start + 1):
+                pass
+
+    async def test_refusals_have_no_effect(self) -> None:
+        for status in (429, 503):
+            self.platform.refusing = status
+            with self.assertRaises(StoreUnavailableError):
+                await self.store.txn((), (Put("a", b"1"),))
+
+    async def test_silence_leaves_a_write_in_doubt_but_not_a_read(self) -> None:
+        self.platform.silent = True
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.get("a")
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await self.store.txn((), (Put("a", b"1"),))
+
+    async def test_unreadable_answer(self) -> None:
+        self.platform.refusing = 200
+        self.platform.server.respond = _respond_nonsense
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.get("a")
+
+
+async def _respond_nonsense(request, writer) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{x}")
+
+
+if __name__ == "__main__":
+    unittest.main()
