--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -190,10 +190,12 @@
         self._parts: list[bytes] = []
         self._received = 0
         self._refused = False
+        self._closed = False
         self._task: asyncio.Task[None] | None = None
 
     def close(self) -> None:
-        """Ends the connection."""
+        """Ends the connection; a request that has arrived and was not read yet is not served."""
+        self._closed = True
         self._connection.close()
 
     def headers_received(
@@ -221,7 +223,7 @@
         self._parts.append(chunk)
 
     def finish(self) -> None:
-        if self._refused:
+        if self._refused or self._closed:
             return
         assert self._head is not None
         body = b"".join(self._parts)
--- /dev/null
+++ b/tests/mastickeel_router/discovery/test_registry.py
@@ -0,0 +1,82 @@
+"""Endpoints come, change and go; entries that lapse with an outage are kept for a little."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from mastickeel.addresses import Address
+from mastickeel.clock import FakeClock
+from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
+from mastickeel_router.discovery.registry import OUTAGE_GRACE_MS
+
+RECORD = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1", born_ms=7)
+
+
+class RegistryTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.registry = EndpointRegistry(self.clock)
+        self.ended: list[str] = []
+        self.registry.on_lifetime.append(self.ended.append)
+
+    def usable(self) -> list[str]:
+        return [record.id for record in self.registry.usable("s")]
+
+    def test_draining_is_out_at_once(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.assertEqual(self.usable(), ["e1"])
+        self.registry.put(replace(RECORD, draining=True), 2)
+        self.assertEqual(self.usable(), [])
+        self.assertIsNotNone(self.registry.get("e1"))
+
+    def test_gone_is_out_at_once(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.registry.remove("e1", 2)
+        self.assertEqual(self.usable(), [])
+        self.assertEqual(self.ended, ["e1"])
+
+    def test_another_birth_under_the_same_id_is_another_lifetime(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.registry.put(replace(RECORD, born_ms=9), 2)
+        self.assertEqual((self.usable(), self.ended), (["e1"], ["e1"]))
+
+    def test_id_that_moves_to_another_service_serves_only_that(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.registry.put(replace(RECORD, service="t"), 2)
+        self.assertEqual(self.usable(), [])
+        self.assertEqual([one.id for one in self.registry.usable("t")], ["e1"])
+
+    def test_whole_list_drops_what_it_lacks(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.registry.replace([replace(RECORD, id="e2")], 2)
+        self.assertEqual(self.usable(), ["e2"])
+        self.assertTrue(self.registry.loaded)
+
+    async def test_lapse_around_an_outage_is_believed_only_after_the_grace(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.registry.begin_outage()
+        self.registry.end_outage()
+        self.registry.remove("e1", 2)
+        self.assertEqual(self.usable(), ["e1"])
+        await self.clock.advance(OUTAGE_GRACE_MS)
+        self.assertEqual(self.usable(), [])
+
+    async def test_endpoint_that_registers_again_in_time_stays(self) -> None:
+        self.registry.put(RECORD, 1)
+        self.registry.begin_outage()
+        self.registry.end_outage()
+        self.registry.replace([], 2)
+        self.registry.put(RECORD, 3)
+        await self.clock.advance(OUTAGE_GRACE_MS)
+        self.assertEqual(self.usable(), ["e1"])
+
+    def test_draining_endpoint_that_lapses_in_an_outage_is_gone(self) -> None:
+        self.registry.put(replace(RECORD, draining=True), 1)
+        self.registry.begin_outage()
+        self.registry.remove("e1", 2)
+        self.assertIsNone(self.registry.get("e1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_router/placement/test_placement.py
@@ -0,0 +1,95 @@
+"""Which endpoint and which model a request gets."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from mastickeel.addresses import Address
+from mastickeel.clock import FakeClock
+from mastickeel_router.discovery import EndpointRecord
+from mastickeel_router.placement import Candidate, Demand, EndpointLoads, score
+from mastickeel_router.placement.models import CONFIDENCE_WANTED, Opinion, next_size
+from mastickeel_router.relay.types import PromptPart
+
+PARTS = (PromptPart("shared", 13_000), PromptPart("own", 4_000))
+LONG = Demand(17_000, PARTS, is_engine=True)
+IDLE = Candidate(slots=64, running=0, same_data_centre=True)
+
+
+def record(name: str, data_centre: str = "dc-a") -> EndpointRecord:
+    return EndpointRecord(name, "s", Address("127.0.0.1", 1), data_centre, "v1", slots=64)
+
+
+class ScoreTest(unittest.TestCase):
+    def test_held_parts_outweigh_the_way_and_some_load(self) -> None:
+        far = Candidate(slots=64, running=3, same_data_centre=False, held_tokens=13_000)
+        self.assertLess(score(LONG, far), score(LONG, IDLE))
+
+    def test_short_requests_stay_near(self) -> None:
+        short = Demand(600, (PromptPart("own", 600),), is_engine=True)
+        far = Candidate(slots=64, running=0, same_data_centre=False, held_tokens=600)
+        self.assertLess(score(short, IDLE), score(short, far))
+
+    def test_busy_plain_endpoint_loses_to_an_idle_one_elsewhere(self) -> None:
+        busy = Candidate(slots=6, running=12, same_data_centre=True)
+        far = Candidate(slots=6, running=0, same_data_centre=False)
+        self.assertLess(score(Demand(), far), score(Demand(), busy))
+
+
+class LoadsTest(unittest.TestCase):
+    def loads(self, seed: int, data_centre: str = "dc-a") -> EndpointLoads:
+        return EndpointLoads(FakeClock(), random.Random(seed), data_centre)
+
+    def test_instances_agree_on_the_home_of_a_large_prompt(self) -> None:
+        records = [record(f"e{number}", f"dc-{'abc'[number % 3]}") for number in range(6)]
+        chosen = set()
+        for seed, data_centre in ((1, "dc-a"), (2, "dc-b"), (3, "dc-c")):
+            one = self.loads(seed, data_centre).choose(records, LONG, "m")
+            assert one is not None
+            chosen.add(one.id)
+        self.assertEqual(len(chosen), 1)
+
+    def test_hot_prompt_spreads_once_its_home_is_loaded(self) -> None:
+        loads = self.loads(1)
+        records = [record(f"e{number}") for number in range(4)]
+        counts: Counter[str] = Counter()
+        for _ in range(40):
+            one = loads.choose(records, LONG, "m")
+            assert one is not None
+            loads.begin(one.id, "m", LONG.parts)
+            counts[one.id] += 1
+        self.assertLessEqual(max(counts.values()), 20)
+
+    def test_unreachable_endpoint_gets_nothing_while_others_live(self) -> None:
+        loads = self.loads(1)
+        records = [record("e1"), record("e2")]
+        loads.breakers.note_failure("e1", unreachable=True)
+        chosen = {loads.choose(records, Demand(), "").id for _ in range(20)}
+        self.assertEqual(chosen, {"e2"})
+        loads.breakers.note_failure("e2", unreachable=True)
+        self.assertIsNotNone(loads.choose(records, Demand(), ""))
+
+    def test_no_endpoint(self) -> None:
+        self.assertIsNone(self.loads(1).choose([], LONG, "m"))
+
+
+class ModelTest(unittest.TestCase):
+    def opinion(self, confidence: int | None, size: int = 0, waited_ms: float = 100) -> Opinion:
+        return Opinion(confidence, size, 3, waited_ms, 3_000)
+
+    def test_doubt_asks_the_largest(self) -> None:
+        self.assertEqual(next_size(self.opinion(CONFIDENCE_WANTED - 1)), 2)
+
+    def test_confidence_no_opinion_and_the_largest_are_taken(self) -> None:
+        self.assertIsNone(next_size(self.opinion(CONFIDENCE_WANTED)))
+        self.assertIsNone(next_size(self.opinion(None)))
+        self.assertIsNone(next_size(self.opinion(0, size=2)))
+
+    def test_late_answer_is_taken_as_it_is(self) -> None:
+        self.assertIsNone(next_size(self.opinion(0, waited_ms=2_900)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_router/relay/test_budget.py
@@ -0,0 +1,54 @@
+"""Repeats over all instances stay within the fleet's ratio and slack in every window."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mastickeel.clock import FakeClock
+from mastickeel_router.relay.budget import INSTANCES_SHARING, RepeatBudget, RepeatLimits
+
+LIMITS = RepeatLimits(ratio=0.9, slack=58, window_ms=10_000)
+
+
+class BudgetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_fleet_keeps_the_rule_when_every_request_fails(self) -> None:
+        clock = FakeClock()
+        draw = random.Random(5)
+        budgets = [RepeatBudget(clock, LIMITS) for _ in range(INSTANCES_SHARING)]
+        requests: list[int] = []
+        repeats: list[int] = []
+        for _ in range(1_000):
+            await clock.advance(draw.randrange(60))
+            budget = draw.choice(budgets)
+            budget.note_request("s")
+            requests.append(clock.now())
+            for _ in range(3):
+                if budget.take("s"):
+                    repeats.append(clock.now())
+        for end in repeats[::7]:
+            start = end - LIMITS.window_ms
+            sent = sum(start < at <= end for at in repeats)
+            windows = (start, start - LIMITS.window_ms // 2, start - LIMITS.window_ms)
+            asked = max(
+                sum(begin < at <= begin + LIMITS.window_ms for at in requests) for begin in windows
+            )
+            self.assertLessEqual(sent, LIMITS.ratio * asked + LIMITS.slack)
+
+    async def test_quiet_instance_still_has_some(self) -> None:
+        clock = FakeClock()
+        budget = RepeatBudget(clock, LIMITS)
+        self.assertTrue(budget.take("s"))
+        self.assertTrue(budget.take("other"))
+
+    async def test_window_slides(self) -> None:
+        clock = FakeClock()
+        budget = RepeatBudget(clock, LIMITS)
+        while budget.take("s"):
+            pass
+        await clock.advance(LIMITS.window_ms + 1)
+        self.assertTrue(budget.take("s"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_router/routes/test_table.py
@@ -0,0 +1,72 @@
+"""The route table takes newer configurations only, and finds the longest prefix."""
+
+from __future__ import annotations
+
+import unittest
+
+from mastickeel.errors import NotFoundError, UnauthorizedError, UnavailableError
+from mastickeel_router.routes import (
+    Caller,
+    Route,
+    RouteKind,
+    RouteTable,
+    RoutingConfiguration,
+    Split,
+)
+
+
+def route(name: str, prefix: str, host: str = "a.example", **changes) -> Route:
+    splits = (Split("s", 1),)
+    return Route(name, host, prefix, RouteKind.REPEATABLE, splits, 1_000, 200, **changes)
+
+
+def configuration(version: int, *routes: Route, **changes) -> RoutingConfiguration:
+    return RoutingConfiguration(version, routes, **changes)
+
+
+class RouteTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = RouteTable()
+
+    def test_nothing_is_served_before_the_first_configuration(self) -> None:
+        with self.assertRaises(UnavailableError) as raised:
+            self.table.match("a.example", "/x/")
+        self.assertIsNotNone(raised.exception.retry_after_ms)
+
+    def test_longest_prefix_wins(self) -> None:
+        self.table.install(configuration(1, route("short", "/a/"), route("long", "/a/b/")), 5)
+        self.assertEqual(self.table.match("a.example", "/a/b/c").name, "long")
+        self.assertEqual(self.table.match("A.Example:8080", "/a/c").name, "short")
+        for host, path in (("a.example", "/ab/"), ("b.example", "/a/"), ("a.example", "/a")):
+            with self.assertRaises(NotFoundError):
+                self.table.match(host, path)
+
+    def test_older_and_equal_versions_change_nothing(self) -> None:
+        self.assertTrue(self.table.install(configuration(5, route("new", "/a/")), 1))
+        self.assertFalse(self.table.install(configuration(4, route("old", "/b/")), 2))
+        self.assertFalse(self.table.install(configuration(5, route("old", "/b/")), 3))
+        self.assertEqual(self.table.match("a.example", "/a/").name, "new")
+
+    def test_keys(self) -> None:
+        self.table.install(configuration(1, callers_by_key={"k": Caller("gmina")}), 1)
+        private, public = route("p", "/p/"), route("o", "/o/", public=True)
+        self.assertEqual(self.table.caller_of(private, "k"), Caller("gmina"))
+        self.assertIsNone(self.table.caller_of(public, ""))
+        for key in ("", "x"):
+            with self.assertRaises(UnauthorizedError):
+                self.table.caller_of(private, key)
+
+    def test_without_accounts_no_key_is_asked_for(self) -> None:
+        self.table.install(configuration(1), 1)
+        self.assertIsNone(self.table.caller_of(route("p", "/p/"), ""))
+
+    def test_listeners_hear_of_each_newer_version(self) -> None:
+        heard = []
+        self.table.on_change.append(lambda new: heard.append(new.version))
+        for version in (1, 3, 2):
+            self.table.install(configuration(version), 1)
+        self.assertEqual(heard, [1, 3])
+
+
+if __name__ == "__main__":
+    unittest.main()
