A caller's close ends its request at once

The first test of this passed by the deadline. Change: the connection's close callback cancels the request; the test waits for less than its deadline and covers a second send.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -228,6 +228,8 @@
         assert self._head is not None
         body = b"".join(self._parts)
         self._parts.clear()
+        # Tornado tells the delegate of a close only while the request is being read.
+        self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._answer(self._head, body))
 
     def on_connection_close(self) -> None:
--- a/tests/mastickeel_platform/test_answers.py
+++ b/tests/mastickeel_platform/test_answers.py
@@ -203,10 +203,27 @@
 
         await self.begin(respond)
         _, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
-        writer.write(request_bytes("/look/a"))
+        writer.write(request_bytes("/look/a", body=b"x" * 10_000))
         await self.until(lambda: self.arrivals())
         writer.close()
-        await asyncio.wait_for(left.wait(), 5)
+        await asyncio.wait_for(left.wait(), 3)
+
+    async def test_caller_that_leaves_during_a_second_send_ends_the_work(self) -> None:
+        left = asyncio.Event()
+
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            if len(self.arrivals()) == 1:
+                reset(writer)
+                return
+            await request.left()
+            left.set()
+
+        await self.begin(respond, respond)
+        _, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        writer.write(request_bytes("/look/a", body=b"x" * 10_000))
+        await self.until(lambda: len(self.arrivals()) == 2)
+        writer.close()
+        await asyncio.wait_for(left.wait(), 3)
 
     async def test_time_of_the_route_ends_the_wait(self) -> None:
         async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
