--- a/tests/mastickeel_platform/test_bad_input.py
+++ b/tests/mastickeel_platform/test_bad_input.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import unittest
+from typing import TYPE_CHECKING
 
 from tests.mastickeel_platform.path import PathTest
 from tests.mastickeel_platform.standins import Request, answer, call, request_bytes
 
+if TYPE_CHECKING:
+    import asyncio
+
 
 async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
     writer.write(answer(request))
--- /dev/null
+++ b/tests/mastickeel_platform/test_releases.py
@@ -0,0 +1,60 @@
+"""Releases through the platform's store: a good one completes, a bad one is reverted."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.mastickeel_platform.path import PathTest
+from tests.mastickeel_platform.standins import Request, answer
+
+
+async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, request.headers["expect-instance"].encode()))
+
+
+async def respond_badly(request: Request, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(request, b"no", status="500 Error"))
+
+
+class ReleaseTest(PathTest):
+    """Two endpoints: i-1 of the old version, i-2 of the target."""
+
+    async def begin_release(self, target_responds, duration_s: float) -> None:
+        await self.add_endpoint(respond)
+        await self.add_endpoint(target_responds, version="v2")
+        await self.gateway.start()
+        await self.until(lambda: self.gateway.ready)
+        order = {"service": "register", "target": "v2", "duration_s": duration_s}
+        self.store.put("op/rollout/register", order)
+
+    def state(self) -> str:
+        return (self.store.read("status/rollout/register") or {}).get("state", "")
+
+    async def ask_until(self, states: set[str]) -> list[bytes]:
+        """Sends requests until the release has one of the states."""
+        bodies = []
+        for number in range(3_000):
+            if self.state() in states:
+                return bodies
+            bodies.append((await self.ask("/once/a", f"r{number}")).body)
+            await asyncio.sleep(0.005)
+        raise AssertionError(f"the release is {self.state()!r}")
+
+    async def test_good_version_takes_over(self) -> None:
+        await self.begin_release(respond, 4)
+        await self.ask_until({"complete"})
+        await self.until(lambda: "mastickeel/releases/register" in "".join(self.store.items))
+        self.assertEqual((await self.ask("/once/a", "last")).body, b"i-2")
+
+    async def test_bad_version_is_reverted(self) -> None:
+        await self.begin_release(respond_badly, 60)
+        await self.ask_until({"reverted"})
+        bad = sum(request.headers["expect-instance"] == "i-2" for request in self.arrivals())
+        self.assertLess(bad, 50)
+        for number in range(20):
+            self.assertEqual((await self.ask("/once/a", f"z{number}")).body, b"i-1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_router/discovery/test_feeds.py
@@ -0,0 +1,67 @@
+"""Following a part of the store through outages and lost history."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from mastickeel.clock import FakeClock
+from mastickeel_router.discovery import follow
+from mastickeel_router.discovery.feeds import LONGEST_PAUSE_MS, Reader
+from tests.mastickeel_router.memorystore import MemoryStore
+
+
+class FollowTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = FakeClock()
+        self.store = MemoryStore()
+        self.seen: list[object] = []
+        reader = Reader(
+            lambda items, _: self.seen.append([item.key for item in items]),
+            lambda item: self.seen.append(item.value),
+            lambda key, _: self.seen.append(f"gone {key}"),
+            lambda: self.seen.append("outage"),
+            lambda: self.seen.append("return"),
+        )
+        self.store.put("p/a", b"1")
+        self.store.put("q/a", b"9")
+        self.task = asyncio.ensure_future(
+            follow(self.store, "p/", reader, clock=self.clock, draw=random.Random(1))
+        )
+        await self.clock.settle()
+
+    async def asyncTearDown(self) -> None:
+        self.task.cancel()
+
+    async def test_list_then_events_in_order(self) -> None:
+        self.store.put("p/b", b"2")
+        self.store.put("q/b", b"9")
+        self.store.delete("p/b")
+        self.store.put("p/b", b"3")
+        await self.clock.settle()
+        self.assertEqual(self.seen, [["p/a"], b"2", "gone p/b", b"3"])
+
+    async def test_outage_is_told_once_and_what_happened_meanwhile_is_not_missed(self) -> None:
+        self.store.set_down(True)
+        await self.clock.advance(5 * LONGEST_PAUSE_MS)
+        self.store.put("p/b", b"2")
+        self.store.set_down(False)
+        await self.clock.advance(LONGEST_PAUSE_MS)
+        self.assertEqual(self.seen, [["p/a"], "outage", "return", b"2"])
+        self.assertEqual(self.store.reads, 1)
+
+    async def test_lost_history_is_read_whole(self) -> None:
+        self.store.set_down(True)
+        await self.clock.settle()
+        self.store.put("p/b", b"2")
+        self.store.lose_history()
+        self.store.set_down(False)
+        await self.clock.advance(LONGEST_PAUSE_MS)
+        self.store.put("p/c", b"3")
+        await self.clock.settle()
+        self.assertEqual(self.seen[-2:], [["p/a", "p/b"], b"3"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/mastickeel_router/dispatch/test_endpoints.py
+++ b/tests/mastickeel_router/dispatch/test_endpoints.py
@@ -17,8 +17,9 @@
 from mastickeel.metrics import Metrics
 from mastickeel.model import Configuration, Delta, Endpoint, EndpointState, Pool, View
 from mastickeel.rendezvous import rank
+from mastickeel_router import breaker
 from mastickeel_router.breaker import Breakers
-from mastickeel_router.dispatch import breaker, endpoints
+from mastickeel_router.dispatch import endpoints
 from mastickeel_router.dispatch.cacheevents import CacheEvents
 from mastickeel_router.dispatch.endpoints import EndpointTable
 from mastickeel_router.dispatch.load import FADE_MS, LoadReports
--- /dev/null
+++ b/tests/mastickeel_router/memorystore.py
@@ -0,0 +1,122 @@
+"""The store's port in memory, with outages and lost history at a test's word."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mastickeel.errors import StoreCompactedError, StoreUnavailableError
+from mastickeel.keyvalue import (
+    Compare,
+    Delete,
+    Get,
+    KeyValue,
+    Put,
+    RangeResult,
+    TxnResult,
+    WatchBatch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+
+class MemoryStore:
+    """One store for all instances of a test."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.kept_from = 0
+        self.reads = 0
+        self._revision = 1
+        self._items: dict[str, KeyValue] = {}
+        self._history: list[WatchBatch] = []
+        self._leases: set[int] = set()
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes as anybody."""
+        self._revision += 1
+        created = self._items[key].create_revision if key in self._items else self._revision
+        item = KeyValue(key, value, self._revision, created, 0, lease)
+        self._items[key] = item
+        self._history.append(WatchBatch(self._revision, puts=(item,)))
+        self._wake()
+        return self._revision
+
+    def delete(self, key: str) -> None:
+        self._revision += 1
+        del self._items[key]
+        self._history.append(WatchBatch(self._revision, deletes=(key,)))
+        self._wake()
+
+    def set_down(self, down: bool) -> None:
+        """Begins or ends an outage, which also cuts the watches."""
+        self.down = down
+        self._wake()
+
+    def lose_history(self) -> None:
+        self._history.clear()
+        self.kept_from = self._revision
+        self._wake()
+
+    async def get(self, key: str) -> KeyValue | None:
+        self._check()
+        return self._items.get(key)
+
+    async def range(self, key: str, *, prefix: bool = False) -> RangeResult:
+        self._check()
+        self.reads += 1
+        found = [item for name, item in sorted(self._items.items()) if name.startswith(key)]
+        return RangeResult(tuple(found), self._revision)
+
+    async def txn(
+        self,
+        compares: Sequence[Compare],
+        success: Sequence[Put | Delete | Get],
+        failure: Sequence[Put | Delete | Get] = (),
+    ) -> TxnResult:
+        self._check()
+        for one in compares:
+            held = self._items.get(one.key)
+            if (held.mod_revision if held else 0) != one.value:
+                return TxnResult(False, self._revision)
+        for step in success:
+            if isinstance(step, Put):
+                self.put(step.key, step.value, step.lease)
+        return TxnResult(True, self._revision)
+
+    async def grant(self, ttl_seconds: int) -> int:
+        self._check()
+        self._leases.add(len(self._leases) + 1)
+        return len(self._leases)
+
+    async def keep_alive(self, lease: int) -> bool:
+        self._check()
+        return lease in self._leases
+
+    async def revoke(self, lease: int) -> None:
+        self._check()
+        for key in [key for key, item in self._items.items() if item.lease == lease]:
+            self.delete(key)
+
+    async def watch(self, prefix: str, revision: int) -> AsyncIterator[WatchBatch]:
+        after = revision - 1
+        while True:
+            self._check()
+            if after < self.kept_from:
+                raise StoreCompactedError()
+            for batch in [one for one in self._history if one.revision > after]:
+                keys = [item.key for item in batch.puts] + list(batch.deletes)
+                if keys[0].startswith(prefix):
+                    yield batch
+                after = batch.revision
+            await self._changed.wait()
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/tests/mastickeel_router/relay/test_listener.py
+++ b/tests/mastickeel_router/relay/test_listener.py
@@ -5,16 +5,19 @@
 import asyncio
 import socket
 import unittest
+from typing import TYPE_CHECKING
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import IOStream
 
-from mastickeel.errors import MastickeelError
 from mastickeel_router.relay.listener import CallerListener, Responder
-from mastickeel_router.relay.types import RequestHead
 from mastickeel_router.routes import CallerLimits
 
+if TYPE_CHECKING:
+    from mastickeel.errors import MastickeelError
+    from mastickeel_router.relay.types import RequestHead
+
 
 def _refuse(error: MastickeelError) -> tuple[int, dict[str, str], bytes]:
     return error.status, {}, b""
--- /dev/null
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -0,0 +1,177 @@
+"""What each instance does about a release, and the duty of leading it, under failure."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from tornado.httputil import HTTPHeaders
+
+from mastickeel.addresses import Address
+from mastickeel.clock import FakeClock
+from mastickeel.keyvalue import Put
+from mastickeel_router.discovery import EndpointRecord
+from mastickeel_router.gateway import Deployment
+from mastickeel_router.relay.exchange import Observed
+from mastickeel_router.relay.policy import SendEnd, SendResult
+from mastickeel_router.relay.types import CallerRequest, RequestHead
+from mastickeel_router.releases import ReleaseOrder, Releases
+from mastickeel_router.routes import Route, RouteKind, Split
+from tests.mastickeel_router.memorystore import MemoryStore
+
+OLD = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1")
+NEW = replace(OLD, id="e2", version="v2")
+ROUTE = Route("r", "h", "/", RouteKind.REPEATABLE, (Split("s", 1),), 1_000, 200)
+DURATION_MS = 20_000
+
+
+def request(name: str, session: str = "") -> CallerRequest:
+    return CallerRequest(
+        name, RequestHead("GET", "/", HTTPHeaders()), "h", "", None, session=session
+    )
+
+
+class Instance:
+    """The releases of one instance, with its background work."""
+
+    def __init__(self, name: str, store: MemoryStore, clock: FakeClock) -> None:
+        self.name = name
+        deployment = Deployment(
+            store=store,
+            write_release_state=lambda order, state: Put(f"status/{order.service}", state.encode()),
+            **dict.fromkeys(
+                (
+                    "dialect",
+                    "operator_prefix",
+                    "entries_prefix",
+                    "read_operator_item",
+                    "read_entry",
+                    "order_of_key",
+                    "endpoint_of_key",
+                )
+            ),
+        )
+        self.releases = Releases(
+            deployment,
+            instance_id=name,
+            prefix="/m",
+            clock=clock,
+            draw=random.Random(name),
+            session_gap_ms=5_000,
+        )
+        work = self.releases.work_by_name().values()
+        self.tasks: list[asyncio.Task[Any]] = [asyncio.ensure_future(one()) for one in work]
+
+    def kill(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def chosen(self, name: str, session: str = "", records=(OLD, NEW)) -> str:
+        kept = self.releases.select("s", request(name, session), records)
+        return kept[0].version if kept else ""
+
+    def answer(self, record: EndpointRecord, bad: bool = False) -> None:
+        end = SendEnd.BROKEN if bad else SendEnd.WHOLE
+        self.releases.observe(Observed(record, ROUTE, SendResult(end), 40.0))
+
+
+class ReleasesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = FakeClock()
+        self.store = MemoryStore()
+        self.instances = [Instance(f"i{number}", self.store, self.clock) for number in range(3)]
+
+    async def asyncTearDown(self) -> None:
+        for instance in self.instances:
+            instance.kill()
+
+    def order(self, target: str = "v2") -> None:
+        for instance in self.instances:
+            instance.releases.take_order(ReleaseOrder("s", target, DURATION_MS, 7))
+
+    async def play(self, milliseconds: int, bad: bool = False) -> None:
+        """Lets time pass; every instance serves a few requests of each version a second."""
+        for _ in range(milliseconds // 500):
+            await self.clock.advance(500)
+            for instance in self.instances:
+                for number in range(8):
+                    version = instance.chosen(f"{self.clock.now()}-{number}")
+                    if version == "v2":
+                        instance.answer(NEW, bad)
+                    elif version:
+                        instance.answer(OLD)
+
+    async def state(self) -> str:
+        item = await self.store.get("status/s")
+        return item.value.decode() if item else ""
+
+    async def test_target_gets_nothing_before_a_plan_is_known(self) -> None:
+        self.order()
+        versions = {self.instances[0].chosen(f"r{number}") for number in range(200)}
+        self.assertEqual(versions, {"v1"})
+        self.assertEqual(self.instances[0].chosen("r", records=(NEW,)), "")
+
+    async def test_instances_agree_on_each_request(self) -> None:
+        self.order()
+        await self.play(3_000)
+        for number in range(200):
+            self.assertEqual(len({one.chosen(f"r{number}") for one in self.instances}), 1)
+        versions = [self.instances[0].chosen(f"r{number}") for number in range(400)]
+        self.assertGreater(versions.count("v2"), 20)
+        self.assertLess(versions.count("v2"), 80)
+
+    async def test_session_keeps_its_version_while_the_share_grows(self) -> None:
+        self.order()
+        await self.play(9_000)
+        one = self.instances[0]
+        sessions = [f"s{number}" for number in range(50)]
+        before = [one.chosen("a", session) for session in sessions]
+        await self.play(2_000)
+        self.assertEqual([one.chosen("b", session) for session in sessions], before)
+
+    async def test_good_release_completes_in_time(self) -> None:
+        self.order()
+        await self.play(DURATION_MS - 500)
+        self.assertEqual(await self.state(), "complete")
+        self.assertEqual({one.chosen("r") for one in self.instances}, {"v2"})
+
+    async def test_bad_release_is_reverted_and_stays_out(self) -> None:
+        self.order()
+        await self.play(9_000, bad=True)
+        self.assertEqual(await self.state(), "reverted")
+        for one in self.instances:
+            one.releases.keep_orders(set())
+            self.assertEqual({one.chosen(f"r{number}") for number in range(100)}, {"v1"})
+
+    async def test_killed_holder_is_replaced_and_the_release_completes(self) -> None:
+        self.order()
+        await self.play(4_000)
+        holder = (await self.store.range("/m/duties/")).items[0]
+        name = holder.value.decode()
+        for instance in self.instances:
+            if instance.name == name:
+                instance.kill()
+                self.instances.remove(instance)
+                break
+        self.store.delete(holder.key)
+        await self.play(DURATION_MS - 4_500)
+        self.assertEqual(await self.state(), "complete")
+
+    async def test_outage_of_the_store_only_delays(self) -> None:
+        self.order()
+        await self.play(4_000)
+        self.store.set_down(True)
+        await self.play(4_000)
+        self.store.set_down(False)
+        for item in (await self.store.range("/m/duties/")).items:
+            # The holder could not renew its lease meanwhile.
+            self.store.delete(item.key)
+        await self.play(DURATION_MS - 8_500)
+        self.assertEqual(await self.state(), "complete")
+
+
+if __name__ == "__main__":
+    unittest.main()
