A stop ends the reuse of connections that have a request under way

Change: the answer under way is made the last of its connection. Measured: its test failed before (no Connection header) and passes now.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -159,6 +159,8 @@
         """Answers each request from now on as the last of its connection."""
         if self._server is not None:
             self._server.conn_params.no_keep_alive = True
+        for reader in self._readers_by_connection.values():
+            reader.end_reuse()
 
     def close_idle(self) -> None:
         """Ends the connections on which no request is under way."""
@@ -193,6 +195,11 @@
         self._closed = False
         self._task: asyncio.Task[None] | None = None
 
+    def end_reuse(self) -> None:
+        """Makes the answer under way the last of its connection."""
+        # Tornado decides this when it reads a request's headers, and has no way to change its mind.
+        self._connection._disconnect_on_finish = True
+
     def close(self) -> None:
         """Ends the connection; a request that has arrived and was not read yet is not served."""
         self._closed = True
--- a/tests/mastickeel_platform/test_gateway.py
+++ b/tests/mastickeel_platform/test_gateway.py
@@ -116,6 +116,28 @@
         self.assertEqual(reply.body, b"late")
         await draining
 
+    async def test_connection_of_an_open_request_takes_no_other_during_a_stop(self) -> None:
+        go = asyncio.Event()
+
+        async def slow(request: Request, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(answer(request, b"late"))
+
+        await self.begin(slow)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        writer.write(request_bytes("/once/a", "r1"))
+        await self.until(lambda: self.arrivals())
+        draining = asyncio.ensure_future(self.gateway.drain())
+        await asyncio.sleep(0.05)
+        go.set()
+        reply = await read_reply(reader)
+        writer.write(request_bytes("/once/a", "r2"))
+        self.assertEqual((reply.body, reply.headers["connection"]), (b"late", "close"))
+        self.assertEqual((await read_reply(reader)).status, 0)
+        self.assertEqual([request.id for request in self.arrivals()], ["r1"])
+        writer.close()
+        await draining
+
     async def test_stop_closes_idle_connections_and_asks_for_new_ones(self) -> None:
         await self.begin(respond)
         idle, idle_writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
