Instances share what work they send to engines; a release starts wider

Cause: an instance sees a ninth of the traffic, so that prompts of the largest model queued at some engines while others were idle; half of the engines were hardly used in a release's first half.

--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -0,0 +1,53 @@
+"""Instances tell each other what work they send to engines, so that all know how busy these are.
+
+What is told is a hint: lost or late messages cost a worse choice, never a wrong one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mastickeel.peers import message
+
+if TYPE_CHECKING:
+    from mastickeel.peers import PeerLink
+    from mastickeel_router.placement import EndpointLoads
+
+LEAST_WORK_MS = 20.0
+"""Less work than this is not told: it is over before the message has been read."""
+
+
+@message("work_sent")
+@dataclass(frozen=True)
+class WorkSent:
+    """An instance has sent work to an endpoint."""
+
+    endpoint: str
+    work_ms: float
+    """How long the endpoint is busy with it."""
+
+
+class LoadSharing:
+    """Tells the peers of this instance's work, and takes theirs."""
+
+    def __init__(self, link: PeerLink, loads: EndpointLoads) -> None:
+        """Makes it, and listens on the link.
+
+        Args:
+            link: The way to the peers.
+            loads: Knows how busy endpoints are.
+        """
+        self._link = link
+        self._loads = loads
+        loads.on_work.append(self._tell)
+        link.on(WorkSent, self._take)
+
+    def _tell(self, endpoint_id: str, work_ms: float) -> None:
+        if work_ms < LEAST_WORK_MS:
+            return
+        for peer_id in self._link.peer_ids:
+            self._link.tell(peer_id, WorkSent(endpoint_id, work_ms))
+
+    async def _take(self, sender: str, sent: WorkSent) -> None:
+        self._loads.note_work(sent.endpoint, sent.work_ms)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -10,9 +10,12 @@
 from mastickeel.events import define
 from mastickeel.httpclient import HttpClient
 from mastickeel.logs import log
+from mastickeel.metrics import Metrics
+from mastickeel.peers import PeerLink
 from mastickeel.tasks import TaskGroup
 from mastickeel_router.discovery import EndpointRegistry, follow
 from mastickeel_router.discovery.feeds import Reader
+from mastickeel_router.fleet import Instances, LoadSharing
 from mastickeel_router.gateway.health import HealthListener
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.relay import CallerListener, Dispatcher
@@ -91,6 +94,7 @@
             session_gap_ms=settings.sessions.gap_ms,
         )
         """Which versions requests may run on while a release is under way."""
+        self._link, self._instances = self._make_fleet()
         self.registry.on_lifetime.append(self.loads.forget)
         self.table.on_change.append(lambda new: self._listener.apply_limits(new.limits))
         self._dispatcher = Dispatcher(self._parts())
@@ -108,6 +112,10 @@
         deployment = self._deployment
         self._follow("operator", deployment.operator_prefix, self._operator_reader())
         self._follow("endpoints", deployment.entries_prefix, self._entry_reader())
+        if self._link is not None and self._instances is not None and self.settings.peers:
+            await self._link.bind(self.settings.peers.listen)
+            self._tasks.keep_running(self.clock, "register", self._instances.keep_registered)
+            self._tasks.keep_running(self.clock, "follow instances", self._instances.follow)
         for name, work in self.releases.work_by_name().items():
             self._tasks.keep_running(self.clock, name, work)
         self.callers_port = self._listener.listen(self.settings.callers.listen)
@@ -145,8 +153,27 @@
         await self._health.close()
         await self._tasks.stop()
         await self.http.close()
+        if self._link is not None:
+            await self._link.close()
         log(events.STOPPED, cut_requests=open_requests)
 
+    def _make_fleet(self) -> tuple[PeerLink | None, Instances | None]:
+        """Makes the link to the other instances, if the settings say where it listens."""
+        settings = self.settings
+        if settings.peers is None:
+            return None, None
+        link = PeerLink(settings.instance.id, clock=self.clock, metrics=Metrics())
+        LoadSharing(link, self.loads)
+        instances = Instances(
+            self._deployment.store,
+            link,
+            prefix=settings.store.prefix,
+            host=settings.peers.listen.host,
+            clock=self.clock,
+            draw=self.draw,
+        )
+        return link, instances
+
     def _parts(self) -> Parts:
         return Parts(
             clock=self.clock,
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -30,6 +30,13 @@
     path: str = "/ready"
 
 
+@dataclass(frozen=True)
+class PeersSettings:
+    """The listener for the other instances, on the fleet's own network."""
+
+    listen: Address
+
+
 @dataclass(frozen=True)
 class StopSettings:
     """How a stop goes."""
@@ -59,6 +66,8 @@
     callers: ListenSettings
     health: HealthSettings
     store: StoreSettings
+    peers: PeersSettings | None = None
+    """Where the other instances reach this one; None to share nothing."""
     repeats: RepeatLimits = field(default_factory=RepeatLimits)
     stop: StopSettings = field(default_factory=StopSettings)
     sessions: SessionSettings = field(default_factory=SessionSettings)
--- a/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
@@ -7,23 +7,20 @@
 
 from mastickeel.rendezvous import rank
 from mastickeel_router.breaker import Breakers
-from mastickeel_router.placement.scoring import Candidate, Demand, score
+from mastickeel_router.placement.models import FirstEvents
+from mastickeel_router.placement.scoring import Candidate, Demand, read_ms, score
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from mastickeel.clock import Clock
     from mastickeel_router.discovery import EndpointRecord
-    from mastickeel_router.relay.types import PromptPart
 
 PARTS_KEPT = 512
 """Parts of prompts remembered for each endpoint; about what an engine's memory holds."""
 PART_AGE_MS = 30_000
 """How long a part is believed to be held; engines forget the least recently used."""
-WORTH_A_JOURNEY_TOKENS = 4_000
-"""Prompts this large have one home for all data centres: reading 4,000 tokens again takes an
-engine longer than the way there and back."""
 TIE_MS = 2.0
 """Scores this near are drawn among, so that instances do not all take the first."""
 
@@ -41,23 +38,39 @@
         """
         self.breakers = Breakers(clock, draw)
         """Which endpoints get nothing for a while."""
+        self.first_events = FirstEvents(clock)
+        """How long first events take lately."""
+        self.on_work: list[Callable[[str, float], None]] = []
+        """Told of the work that this instance sends: the endpoint and its milliseconds."""
         self._clock = clock
         self._draw = draw
         self._data_centre = data_centre
         self._running_by_id: Counter[str] = Counter()
+        self._idle_at_ms: dict[str, float] = {}
         self._parts_by_id: dict[str, OrderedDict[tuple[str, str], int]] = defaultdict(OrderedDict)
 
-    def begin(self, endpoint_id: str, model: str, parts: Sequence[PromptPart]) -> None:
+    def begin(self, record: EndpointRecord, demand: Demand, model: str) -> None:
         """Notes that a request goes to an endpoint."""
+        endpoint_id = record.id
         self._running_by_id[endpoint_id] += 1
+        if demand.is_engine:
+            work_ms = read_ms(demand, self._candidate(record, demand, model, home=""))
+            self.note_work(endpoint_id, work_ms)
+            for tell in self.on_work:
+                tell(endpoint_id, work_ms)
         held = self._parts_by_id[endpoint_id]
         now = self._clock.now()
-        for part in parts:
+        for part in demand.parts:
             held[model, part.id] = now
             held.move_to_end((model, part.id))
         while len(held) > PARTS_KEPT:
             held.popitem(last=False)
 
+    def note_work(self, endpoint_id: str, work_ms: float) -> None:
+        """Notes work that this instance or another has sent to an endpoint."""
+        now = self._clock.now()
+        self._idle_at_ms[endpoint_id] = max(now, self._idle_at_ms.get(endpoint_id, now)) + work_ms
+
     def end(self, endpoint_id: str) -> None:
         """Notes that a request has ended there."""
         self._running_by_id[endpoint_id] -= 1
@@ -65,6 +78,7 @@
     def forget(self, endpoint_id: str) -> None:
         """Forgets what an endpoint held: its lifetime has ended."""
         self._parts_by_id.pop(endpoint_id, None)
+        self._idle_at_ms.pop(endpoint_id, None)
 
     def choose(
         self, records: Sequence[EndpointRecord], demand: Demand, model: str
@@ -96,7 +110,7 @@
         near = [
             one.id
             for one in records
-            if one.data_centre == self._data_centre or demand.tokens_in >= WORTH_A_JOURNEY_TOKENS
+            if one.data_centre == self._data_centre or demand.worth_a_journey
         ]
         shared = demand.parts[-2] if len(demand.parts) > 1 else demand.parts[0]
         return rank(shared.id, near or [one.id for one in records])[0]
@@ -108,6 +122,7 @@
             slots=record.slots,
             running=self._running_by_id[record.id],
             same_data_centre=record.data_centre == self._data_centre,
+            backlog_ms=max(0.0, self._idle_at_ms.get(record.id, 0.0) - self._clock.now()),
             held_tokens=self._held_tokens(record.id, demand, model),
             is_home=record.id == home,
         )
--- a/packages/mastickeel_router/src/mastickeel_router/placement/models.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/models.py
@@ -3,12 +3,27 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-CONFIDENCE_WANTED = 50
-"""The lowest opinion of a model of its own answer, of 100, at which the answer is taken."""
-LONGEST_READ_PART = 0.5
-"""The part of the latency objective that may have passed when an answer is given up: a larger
-model has to read the prompt again."""
+if TYPE_CHECKING:
+    from mastickeel.clock import Clock
+
+LARGEST_PASSES = 0.95
+"""How likely an answer of the largest model meets the quality target; nothing tells it better."""
+LATE_VALUE = 0.3
+"""What an answer after the latency objective is worth, against one in time."""
+LARGEST_PRICE = 0.12
+"""What a run of the largest model costs, against the worth of a good answer."""
+MARGIN = 0.35
+"""How much more must be expected of the larger model: its run also slows its neighbours."""
+SPREAD = 0.5
+"""The part of the objective over which the chance to be in time goes from 1 to 0."""
+FIRST_EVENT_MS = 600.0
+"""How long a first event is taken to need before one has been seen."""
+WEIGHT = 0.3
+"""The weight of the newest first event in the average."""
+MEMORY_MS = 8_000.0
+"""How fast what was seen is forgotten: about how long a burst lasts."""
 
 
 @dataclass(frozen=True)
@@ -22,15 +37,48 @@
     sizes: int
     """How many models the route has."""
     waited_ms: float
+    """Since the request arrived."""
     objective_ms: float
+    larger_first_ms: float = FIRST_EVENT_MS
+    """How long the largest model's first event takes at present."""
 
 
 def next_size(opinion: Opinion) -> int | None:
     """Returns the place of the model that should answer instead; None to take the answer."""
     if opinion.confidence is None or opinion.size + 1 >= opinion.sizes:
         return None
-    if opinion.confidence >= CONFIDENCE_WANTED:
-        return None
-    if opinion.waited_ms > LONGEST_READ_PART * opinion.objective_ms:
-        return None
-    return opinion.sizes - 1
+    in_time = opinion.waited_ms <= opinion.objective_ms
+    taken = opinion.confidence / 100 * (1.0 if in_time else LATE_VALUE)
+    expected_ms = opinion.waited_ms + opinion.larger_first_ms
+    chance = 0.5 + (opinion.objective_ms - expected_ms) / (SPREAD * opinion.objective_ms)
+    chance = min(1.0, max(0.0, chance))
+    larger = LARGEST_PASSES * (chance + LATE_VALUE * (1 - chance)) - LARGEST_PRICE
+    return opinion.sizes - 1 if larger > taken + MARGIN else None
+
+
+class FirstEvents:
+    """How long first events take lately, by model; what is old counts less and less."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Makes it with nothing seen.
+
+        Args:
+            clock: Times the forgetting.
+        """
+        self._clock = clock
+        self._seen_by_model: dict[str, tuple[float, int]] = {}
+
+    def note(self, model: str, first_ms: float) -> None:
+        """Takes the time from a send to its first event."""
+        average = self.expect(model)
+        now = self._clock.now()
+        self._seen_by_model[model] = (average + WEIGHT * (first_ms - average), now)
+
+    def expect(self, model: str) -> float:
+        """Returns how long a first event is expected to take, in milliseconds."""
+        seen = self._seen_by_model.get(model)
+        if seen is None:
+            return FIRST_EVENT_MS
+        average, at_ms = seen
+        kept = max(0.0, 1 - (self._clock.now() - at_ms) / MEMORY_MS)
+        return FIRST_EVENT_MS + kept * (average - FIRST_EVENT_MS)
--- a/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
@@ -15,6 +15,9 @@
 RUN_MS = 45.0
 """What a request that already runs at a plain service costs the next one: its work, as the
 deployments' sheets say, over the slots of an endpoint."""
+JOURNEY_MS = 150.0
+"""From which saving on large prompts have one home for all data centres; bytes between them are
+priced."""
 OTHER_DATA_CENTRE_MS = 60.0
 """What bytes between data centres are worth; above the round trip of 2 ms, as they are priced."""
 HOME_CHANCE = 0.6
@@ -28,6 +31,18 @@
     tokens_in: int = 0
     parts: tuple[PromptPart, ...] = ()
     is_engine: bool = False
+    work: float = 1.0
+    """How long the model takes for a token, against the engine's sheet."""
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may have."""
+        return sum(part.tokens for part in self.parts[:-1])
+
+    @property
+    def worth_a_journey(self) -> bool:
+        """Whether reading the shared parts again takes longer than the way to their home."""
+        return self.shared_tokens * self.work / TOKENS_READ_PER_MS > JOURNEY_MS
 
 
 @dataclass(frozen=True)
@@ -42,20 +57,25 @@
     """Tokens of the prompt that this instance has sent there lately, in one row from the start."""
     is_home: bool = False
     """Whether all instances of the data centre send prompts with these parts there first."""
+    backlog_ms: float = 0.0
+    """Work that all instances have sent there and that is not done yet."""
     slowness: float = 1.0
     """How long its answers take against those of its peers."""
 
 
+def read_ms(demand: Demand, candidate: Candidate) -> float:
+    """Returns how long the endpoint needs for the parts of the prompt that it does not hold."""
+    held = float(candidate.held_tokens)
+    if candidate.is_home:
+        held = max(held, HOME_CHANCE * demand.shared_tokens)
+    return max(0.0, demand.tokens_in - held) * demand.work / TOKENS_READ_PER_MS
+
+
 def score(demand: Demand, candidate: Candidate) -> float:
     """Returns what the request would cost there, in milliseconds; less is better."""
     distance_ms = 0.0 if candidate.same_data_centre else OTHER_DATA_CENTRE_MS
     if not demand.is_engine:
         load_ms = RUN_MS * candidate.running / max(1, candidate.slots)
         return (RUN_MS + load_ms) * candidate.slowness + distance_ms
-    held = float(candidate.held_tokens)
-    if candidate.is_home:
-        shared = sum(part.tokens for part in demand.parts[:-1])
-        held = max(held, HOME_CHANCE * shared)
-    read_ms = max(0.0, demand.tokens_in - held) / TOKENS_READ_PER_MS
-    load_ms = SLOWDOWN_PER_RUN_MS * candidate.running
-    return (read_ms + load_ms) * candidate.slowness + distance_ms
+    load_ms = candidate.backlog_ms + SLOWDOWN_PER_RUN_MS * candidate.running
+    return (read_ms(demand, candidate) + load_ms) * candidate.slowness + distance_ms
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
@@ -46,6 +46,9 @@
 """When to come back after every endpoint refused: about the work that a full queue holds."""
 ABSENT_RETRY_MS = 1_000
 """When to come back while no endpoint is known: endpoints register about once a second."""
+LARGEST_WORK = 3.0
+"""How long the largest model takes for a token, against the engine's sheet."""
+SMALLEST_WORK = 0.3
 HIGHEST_URGENCY = 9
 SIZE_RANK = 3
 """How much less urgent a larger model is: what is read fast goes first."""
@@ -98,12 +101,26 @@
     registry: EndpointRegistry
     loads: EndpointLoads
     budget: RepeatBudget
-    select: Callable[[str, CallerRequest, Sequence[EndpointRecord]], Sequence[EndpointRecord]]
+    select: Select
     """Keeps the endpoints whose version the request may run on."""
     observe: Callable[[Observed], None]
     """Told of each send."""
 
 
+class Select(Protocol):
+    """Keeps the endpoints whose version a request may run on."""
+
+    def __call__(
+        self,
+        service: str,
+        request: CallerRequest,
+        records: Sequence[EndpointRecord],
+        *,
+        failed: bool = False,
+    ) -> Sequence[EndpointRecord]:
+        """Returns those of the records that may be sent the request."""
+
+
 class Dispatcher:
     """Serves the requests of all routes."""
 
@@ -165,6 +182,7 @@
         self._sender = Sender(parts.client, parts.dialect, parts.clock)
         self._progress = Progress(parts.clock.now(), last_event=request.last_event)
         self._first_event_ms: int | None = None
+        self._sent_ms = 0
         limit = route.timeout_ms
         if request.deadline_ms is not None:
             limit = min(limit, request.deadline_ms - ANSWER_MARGIN_MS)
@@ -233,13 +251,11 @@
         """
         parts = self._parts
         known = parts.registry.usable(self._service)
-        records = parts.select(self._service, self._request, known)
+        records = parts.select(
+            self._service, self._request, known, failed=self._progress.failures > 0
+        )
         untried = [one for one in records if one.id not in self._progress.tried]
-        prompt = self._request.prompt
-        demand = Demand()
-        if prompt is not None:
-            demand = Demand(prompt.tokens_in, prompt.parts, is_engine=True)
-        endpoint = parts.loads.choose(untried or records, demand, self._model)
+        endpoint = parts.loads.choose(untried or records, self._demand(), self._model)
         if endpoint is not None:
             return endpoint
         detail = f"No endpoint of {self._service} is known."
@@ -247,13 +263,32 @@
             raise EndpointError(detail)
         raise UnavailableError(detail, retry_after_ms=ABSENT_RETRY_MS)
 
+    def _demand(self) -> Demand:
+        """Returns what the next send asks of an endpoint."""
+        prompt = self._request.prompt
+        if prompt is None:
+            return Demand()
+        return Demand(prompt.tokens_in, prompt.parts, is_engine=True, work=self._work())
+
+    def _work(self) -> float:
+        """Estimates how long the model takes for a token from its price against the largest's."""
+        configuration = self._parts.table.configuration
+        service = configuration.services_by_name.get(self._service) if configuration else None
+        if service is None or service.engine is None or len(self._models) < 2:
+            return 1.0
+        models_by_name = service.engine.models_by_name
+        costs = [models_by_name[one].cost for one in self._models if one in models_by_name]
+        if len(costs) < len(self._models) or not costs[-1]:
+            return 1.0
+        return max(SMALLEST_WORK, LARGEST_WORK * costs[self._size] / costs[-1])
+
     async def _send(self, endpoint: EndpointRecord) -> SendResult:
         """Sends the request to one endpoint and notes what that showed."""
         parts, progress = self._parts, self._progress
         progress.sends += 1
         progress.tried.append(endpoint.id)
         ran_before = progress.may_have_run
-        began_ms = parts.clock.now()
+        began_ms = self._sent_ms = parts.clock.now()
         http_request = parts.dialect.write_send(self._describe(endpoint))
         answer = AnswerCollector(
             self._request,
@@ -263,14 +298,15 @@
             progress=progress,
             judge=self._accepts,
         )
-        prompt = self._request.prompt
-        parts.loads.begin(endpoint.id, self._model, prompt.parts if prompt else ())
+        parts.loads.begin(endpoint, self._demand(), self._model)
         try:
             result = await self._sender.send(
                 http_request, endpoint, answer, route=self._route, left_ms=self._left_ms
             )
         finally:
             parts.loads.end(endpoint.id)
+        if result.end is SendEnd.BROKEN or (result.head and result.head.status >= 500):
+            progress.failures += 1
         if result.end is SendEnd.NOT_RUN:
             progress.may_have_run = ran_before
         self._note(endpoint, result, began_ms)
@@ -299,13 +335,18 @@
     def _accepts(self, head: AnswerHead) -> bool:
         """Takes an answer, or gives it up for one of a larger model."""
         now = self._parts.clock.now()
+        if not self._models:
+            self._first_event_ms = now
+            return True
         opinion = Opinion(
             confidence=head.confidence,
             size=self._size,
             sizes=len(self._models),
             waited_ms=now - self._progress.started_ms,
             objective_ms=self._route.objective_ms,
+            larger_first_ms=self._parts.loads.first_events.expect(self._models[-1]),
         )
+        self._parts.loads.first_events.note(self._model, now - self._sent_ms)
         self._confidence = head.confidence
         larger = next_size(opinion)
         if larger is not None and self._may_drop() and self._parts.budget.take(self._service):
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -131,6 +131,8 @@
     sends: int = 0
     tried: list[str] = field(default_factory=list)
     """Endpoints that it was sent to, in order."""
+    failures: int = 0
+    """Sends that brought a failure or nothing."""
     may_have_run: bool = False
     last_event: int | None = None
     """The newest event that the caller has been given."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/judgement.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/judgement.py
@@ -13,12 +13,13 @@
 
     from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan
 
-FIRST_SHARE = 0.12
-"""The target's share in the first half: below the 0.15 of all requests that a bad one may get."""
+FIRST_SHARE = 0.25
+"""The target's share at first: below the 0.15 of all requests that a bad one may get."""
 SECOND_SHARE = 0.5
-SECOND_FROM = 0.5
+"""Both versions' endpoints work alike, as long as both are there."""
+SECOND_FROM = 0.3
 """The part of the release's time after which sessions may move to the target."""
-WHOLE_FROM = 0.7
+WHOLE_FROM = 0.72
 COMPLETE_FROM = 0.92
 """When the old endpoints may stop: requests that ran on when all moved have mostly ended."""
 ANSWERS_TO_WIDEN = 8
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -38,11 +38,11 @@
     from mastickeel_router.relay.exchange import Observed
     from mastickeel_router.relay.types import CallerRequest
 
-TIMING = DutyTiming(ttl_seconds=3, renew_ms=800, campaign_ms=700)
-"""A holder that is lost is replaced within four seconds, under a third of the shortest release."""
+TIMING = DutyTiming(ttl_seconds=3, renew_ms=800, campaign_ms=1_800)
+"""A holder that is lost is replaced within five seconds, under half of the shortest release."""
 LEAD_INTERVAL_MS = 800
 """How often the holder weighs the evidence."""
-REPORT_INTERVAL_MS = 1_000
+REPORT_INTERVAL_MS = 1_500
 """How often an instance writes what it has seen, if that has changed."""
 WATCH_CHECK_MS = 200
 HASH_SPAN = float(1 << 64)
@@ -133,7 +133,12 @@
             self._orders_by_service.pop(service, None)
 
     def select(
-        self, service: str, request: CallerRequest, records: Sequence[EndpointRecord]
+        self,
+        service: str,
+        request: CallerRequest,
+        records: Sequence[EndpointRecord],
+        *,
+        failed: bool = False,
     ) -> Sequence[EndpointRecord]:
         """Keeps the endpoints whose version a request may run on.
 
@@ -141,6 +146,8 @@
             service: Where it goes.
             request: The request; requests of one session stay on one version.
             records: The service's endpoints.
+            failed: Whether a send of the request has failed: then it stays off the version on
+                trial.
         """
         order = self._orders_by_service.get(service)
         if order is None:
@@ -155,7 +162,7 @@
             return target or old
         if share <= 0.0:
             return old
-        wants_target = self._version_is_target(request, order, share)
+        wants_target = not failed and self._version_is_target(request, order, share)
         chosen = target if wants_target and target else old
         if request.session and chosen:
             self._remember(request.session, chosen[0].version)
--- /dev/null
+++ b/tests/mastickeel_router/fleet/test_sharing.py
@@ -0,0 +1,115 @@
+"""Instances know of each other's work, and place their own around it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from mastickeel.addresses import Address
+from mastickeel.clock import Clock, FakeClock
+from mastickeel.metrics import Metrics
+from mastickeel.peers import PeerLink
+from mastickeel_router.discovery import EndpointRecord
+from mastickeel_router.fleet import Instances, LoadSharing
+from mastickeel_router.placement import Demand, EndpointLoads
+from mastickeel_router.relay.types import PromptPart
+from tests.mastickeel_router.memorystore import MemoryStore
+
+RECORDS = [EndpointRecord(f"e{n}", "s", Address("127.0.0.1", 1), "dc-a", "v1") for n in range(3)]
+TRIES = 200
+
+
+def prompt(name: str) -> Demand:
+    parts = (PromptPart(f"shared-{name}", 100), PromptPart(f"own-{name}", 16_000))
+    return Demand(16_100, parts, is_engine=True, work=3.0)
+
+
+class BacklogTest(unittest.IsolatedAsyncioTestCase):
+    """Work that is known of is placed around, until it is done."""
+
+    async def test_busy_endpoint_is_passed_over_until_it_is_idle(self) -> None:
+        clock = FakeClock()
+        loads = EndpointLoads(clock, random.Random(1), "dc-a")
+        for endpoint_id in ("e0", "e1"):
+            loads.note_work(endpoint_id, 2_000)
+        chosen = {loads.choose(RECORDS, prompt(f"p{n}"), "m").id for n in range(20)}
+        self.assertEqual(chosen, {"e2"})
+        await clock.advance(2_000)
+        chosen = {loads.choose(RECORDS, prompt(f"p{n}"), "m").id for n in range(20)}
+        self.assertEqual(chosen, {"e0", "e1", "e2"})
+
+    async def test_burst_of_long_prompts_is_spread_evenly(self) -> None:
+        loads = EndpointLoads(FakeClock(), random.Random(1), "dc-a")
+        placed = []
+        for number in range(30):
+            demand = prompt(f"p{number}")
+            one = loads.choose(RECORDS, demand, "m")
+            assert one is not None
+            loads.begin(one, demand, "m")
+            placed.append(one.id)
+        counts = sorted(placed.count(record.id) for record in RECORDS)
+        self.assertLessEqual(counts[-1] - counts[0], 1)
+
+
+class SharingTest(unittest.IsolatedAsyncioTestCase):
+    """Two instances over loopback, which find each other in the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MemoryStore()
+        self.links = []
+        self.loads = []
+        self.tasks = []
+        for number in range(2):
+            clock = Clock()
+            link = PeerLink(f"i{number}", clock=clock, metrics=Metrics())
+            await link.bind(Address("127.0.0.1", 0))
+            loads = EndpointLoads(clock, random.Random(number), "dc-a")
+            LoadSharing(link, loads)
+            instances = Instances(
+                self.store,
+                link,
+                prefix="/m",
+                host="127.0.0.1",
+                clock=clock,
+                draw=random.Random(number),
+            )
+            self.tasks += [
+                asyncio.ensure_future(instances.keep_registered()),
+                asyncio.ensure_future(instances.follow()),
+            ]
+            self.links.append(link)
+            self.loads.append(loads)
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for link in self.links:
+            await link.close()
+
+    async def until(self, condition) -> None:
+        for _ in range(TRIES):
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+        self.fail("what was waited for did not come about")
+
+    async def test_work_of_one_is_known_to_the_other(self) -> None:
+        await self.until(lambda: all(link.peer_ids for link in self.links))
+        seen = []
+        take = self.loads[1].note_work
+        self.loads[1].note_work = lambda *work: (seen.append(work), take(*work))
+        self.loads[0].begin(RECORDS[0], prompt("a"), "m")
+        await self.until(lambda: seen)
+        self.assertEqual(seen[0][0], "e0")
+        chosen = {self.loads[1].choose(RECORDS, prompt(f"p{n}"), "m").id for n in range(20)}
+        self.assertNotIn("e0", chosen)
+
+    async def test_instance_whose_entry_lapses_is_told_nothing(self) -> None:
+        await self.until(lambda: self.links[0].peer_ids == ("i1",))
+        self.store.delete("/m/instances/i1")
+        await self.until(lambda: not self.links[0].peer_ids)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/mastickeel_router/placement/test_placement.py
+++ b/tests/mastickeel_router/placement/test_placement.py
@@ -10,7 +10,13 @@
 from mastickeel.clock import FakeClock
 from mastickeel_router.discovery import EndpointRecord
 from mastickeel_router.placement import Candidate, Demand, EndpointLoads, score
-from mastickeel_router.placement.models import CONFIDENCE_WANTED, Opinion, next_size
+from mastickeel_router.placement.models import (
+    FIRST_EVENT_MS,
+    MEMORY_MS,
+    FirstEvents,
+    Opinion,
+    next_size,
+)
 from mastickeel_router.relay.types import PromptPart
 
 PARTS = (PromptPart("shared", 13_000), PromptPart("own", 4_000))
@@ -58,7 +64,7 @@
         for _ in range(40):
             one = loads.choose(records, LONG, "m")
             assert one is not None
-            loads.begin(one.id, "m", LONG.parts)
+            loads.begin(one, LONG, "m")
             counts[one.id] += 1
         self.assertLessEqual(max(counts.values()), 20)
 
@@ -75,20 +81,33 @@
         self.assertIsNone(self.loads(1).choose([], LONG, "m"))
 
 
-class ModelTest(unittest.TestCase):
-    def opinion(self, confidence: int | None, size: int = 0, waited_ms: float = 100) -> Opinion:
-        return Opinion(confidence, size, 3, waited_ms, 3_000)
+class ModelTest(unittest.IsolatedAsyncioTestCase):
+    def opinion(self, confidence: int | None, **changes: float) -> Opinion:
+        fields = {"size": 0, "sizes": 3, "waited_ms": 100.0, "objective_ms": 3_000.0} | changes
+        return Opinion(confidence, **fields)
 
     def test_doubt_asks_the_largest(self) -> None:
-        self.assertEqual(next_size(self.opinion(CONFIDENCE_WANTED - 1)), 2)
+        self.assertEqual(next_size(self.opinion(20)), 2)
 
     def test_confidence_no_opinion_and_the_largest_are_taken(self) -> None:
-        self.assertIsNone(next_size(self.opinion(CONFIDENCE_WANTED)))
+        self.assertIsNone(next_size(self.opinion(90)))
         self.assertIsNone(next_size(self.opinion(None)))
         self.assertIsNone(next_size(self.opinion(0, size=2)))
 
-    def test_late_answer_is_taken_as_it_is(self) -> None:
-        self.assertIsNone(next_size(self.opinion(0, waited_ms=2_900)))
+    def test_slow_largest_is_asked_only_when_the_answer_is_surely_bad(self) -> None:
+        slow = {"larger_first_ms": 6_000.0}
+        self.assertIsNone(next_size(self.opinion(30, **slow)))
+        self.assertEqual(next_size(self.opinion(30)), 2)
+
+    async def test_first_events_are_learned_and_forgotten(self) -> None:
+        clock = FakeClock()
+        seen = FirstEvents(clock)
+        self.assertEqual(seen.expect("m"), FIRST_EVENT_MS)
+        for _ in range(20):
+            seen.note("m", 4_000)
+        self.assertGreater(seen.expect("m"), 3_500)
+        await clock.advance(round(MEMORY_MS))
+        self.assertEqual(seen.expect("m"), FIRST_EVENT_MS)
 
 
 if __name__ == "__main__":
