An instance listens once it knows configuration, endpoints and releases

Change: callers are listened to once all three are known, or after 1.5 s; plans are read as soon as an order is known. Measured: the test of a restarted instance fails without it.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -32,6 +32,10 @@
     from mastickeel_router.gateway.deployment import Deployment
     from mastickeel_router.gateway.settings import GatewaySettings
 
+START_WAIT_MS = 1_500
+"""How long callers are not listened to while nothing can be served: a refused connection is tried
+elsewhere at once. Later they get an answer that says when to come back."""
+START_CHECK_MS = 5
 IDLE_CHECK_MS = 50
 """How often a stop looks whether the open requests have ended."""
 QUIET_MS = 200
@@ -104,8 +108,13 @@
     @property
     def ready(self) -> bool:
         """Whether it takes new connections."""
-        known = self.table.configuration is not None and self.registry.loaded
-        return known and not self.leaving
+        return self._knows_enough and not self.leaving
+
+    @property
+    def _knows_enough(self) -> bool:
+        """Whether what it serves with has been read from the store."""
+        loaded = self.table.configuration is not None and self.registry.loaded
+        return loaded and self.releases.ready
 
     async def start(self) -> None:
         """Opens the listeners and begins to follow the store."""
@@ -118,8 +127,11 @@
             self._tasks.keep_running(self.clock, "follow instances", self._instances.follow)
         for name, work in self.releases.work_by_name().items():
             self._tasks.keep_running(self.clock, name, work)
-        self.callers_port = self._listener.listen(self.settings.callers.listen)
         self.health_port = self._health.listen(self.settings.health.listen)
+        until_ms = self.clock.now() + START_WAIT_MS
+        while not self._knows_enough and self.clock.now() < until_ms:
+            await self.clock.sleep(START_CHECK_MS)
+        self.callers_port = self._listener.listen(self.settings.callers.listen)
         log(events.STARTED, callers=self.callers_port, health=self.health_port)
 
     def apply(self, settings: GatewaySettings) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -94,6 +94,8 @@
         self._reported_by_service: dict[str, dict[str, Block]] = {}
         self._sessions: dict[str, tuple[str, int]] = {}
         self._paces = Paces()
+        self._order_taken = asyncio.Event()
+        self._plans_read = False
         self._leaving = False
         self._duty = Duty(
             "releases",
@@ -105,6 +107,11 @@
             timing=TIMING,
         )
 
+    @property
+    def ready(self) -> bool:
+        """Whether this instance knows how far each release is that it has an order for."""
+        return self._plans_read or not self._running()
+
     def take_order(self, order: ReleaseOrder) -> None:
         """Takes an order of the operator."""
         known = self._orders_by_service.get(order.service)
@@ -113,6 +120,7 @@
         self._orders_by_service[order.service] = order
         self._seen_ms_by_service[order.service] = self._clock.now()
         self._counts_by_service[order.service] = {}
+        self._order_taken.set()
         log(
             ORDER_TAKEN,
             service=order.service,
@@ -229,8 +237,8 @@
         """Follows the plans while a release runs; at other times nothing is asked of the store."""
         while True:
             if not self._running():
-                await self._clock.sleep(WATCH_CHECK_MS)
-                continue
+                self._order_taken.clear()
+                await self._order_taken.wait()
             reader = Reader(self._take_plans, self._take_plan, lambda key, revision: None)
             following = asyncio.ensure_future(
                 follow(self._store, self._plans_prefix, reader, clock=self._clock, draw=self._draw)
@@ -243,6 +251,7 @@
                 await asyncio.gather(following, return_exceptions=True)
 
     def _take_plans(self, items: tuple[KeyValue, ...], revision: int) -> None:
+        self._plans_read = True
         for item in items:
             self._take_plan(item)
 
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -160,6 +160,17 @@
         await self.play(DURATION_MS - 4_500)
         self.assertEqual(await self.state(), "complete")
 
+    async def test_restarted_instance_is_ready_once_it_knows_the_plan(self) -> None:
+        self.order()
+        await self.play(DURATION_MS - 500)
+        late = Instance("late", self.store, self.clock)
+        self.instances.append(late)
+        late.releases.take_order(ReleaseOrder("s", "v2", DURATION_MS, 7))
+        self.assertFalse(late.releases.ready)
+        await self.clock.settle()
+        self.assertTrue(late.releases.ready)
+        self.assertEqual(late.chosen("r", records=(NEW,)), "v2")
+
     async def test_outage_of_the_store_only_delays(self) -> None:
         self.order()
         await self.play(4_000)
