Figures on the metrics address; log lines on standard output that never block

Change: requests, sends and latencies by kind with prometheus-client; lines go through a stream that leaves out, and counts, what the reader or the rate has no room for.

--- a/packages/mastickeel/src/mastickeel/logs.py
+++ b/packages/mastickeel/src/mastickeel/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any, Protocol, TextIO, cast
 
 import structlog
 
@@ -14,7 +14,17 @@
 LEVELS_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def configure(level: str = "info", instance_id: str = "", stream: TextIO | None = None) -> None:
+class LogStream(Protocol):
+    """Where records go."""
+
+    def write(self, text: str, /) -> int:
+        """Takes a line."""
+
+    def flush(self) -> None:
+        """Hands on what was taken."""
+
+
+def configure(level: str = "info", instance_id: str = "", stream: LogStream | None = None) -> None:
     """Sets up the logs of the process.
 
     Args:
@@ -35,7 +45,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast("TextIO", stream or sys.stderr)),
         cache_logger_on_first_use=True,
     )
     if instance_id:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -16,6 +16,7 @@
 from mastickeel_router.discovery import EndpointRegistry, follow
 from mastickeel_router.discovery.feeds import Reader
 from mastickeel_router.fleet import Instances, LoadSharing
+from mastickeel_router.gateway.figures import Figures, FiguresListener
 from mastickeel_router.gateway.health import HealthListener
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.relay import CallerListener, Dispatcher
@@ -31,6 +32,7 @@
     from mastickeel.clock import Clock
     from mastickeel_router.gateway.deployment import Deployment
     from mastickeel_router.gateway.settings import GatewaySettings
+    from mastickeel_router.relay.exchange import Observed
 
 START_WAIT_MS = 1_500
 """How long callers are not listened to while nothing can be served: a refused connection is tried
@@ -87,6 +89,8 @@
         """Where it serves callers, once started."""
         self.health_port = 0
         """Where it answers health checks, once started."""
+        self.metrics_port = 0
+        """Where it serves figures, once started; 0 for nowhere."""
         self._tasks = TaskGroup()
         self._deployment = make_deployment(self.http)
         self.releases = Releases(
@@ -101,6 +105,9 @@
         self._link, self._instances = self._make_fleet()
         self.registry.on_lifetime.append(self.loads.forget)
         self.table.on_change.append(lambda new: self._listener.apply_limits(new.limits))
+        self.figures = self._make_figures()
+        """What it counts."""
+        self._figures_listener = FiguresListener(self.figures)
         self._dispatcher = Dispatcher(self._parts())
         self._listener = CallerListener(self._dispatcher.serve, self._write_refusal, self._limits)
         self._health = HealthListener(settings.health.path, lambda: self.ready)
@@ -128,6 +135,8 @@
         for name, work in self.releases.work_by_name().items():
             self._tasks.keep_running(self.clock, name, work)
         self.health_port = self._health.listen(self.settings.health.listen)
+        if self.settings.metrics is not None:
+            self.metrics_port = self._figures_listener.listen(self.settings.metrics.listen)
         until_ms = self.clock.now() + START_WAIT_MS
         while not self._knows_enough and self.clock.now() < until_ms:
             await self.clock.sleep(START_CHECK_MS)
@@ -163,6 +172,7 @@
         open_requests = self._listener.open_requests
         await self._listener.close()
         await self._health.close()
+        await self._figures_listener.close()
         await self._tasks.stop()
         await self.http.close()
         if self._link is not None:
@@ -197,9 +207,26 @@
             loads=self.loads,
             budget=self.budget,
             select=self.releases.select,
-            observe=self.releases.observe,
+            observe=self._observe,
+            finish=self.figures.note_request,
         )
 
+    def _observe(self, seen: Observed) -> None:
+        self.releases.observe(seen)
+        self.figures.note_send(seen)
+
+    def _make_figures(self) -> Figures:
+        figures = Figures()
+        figures.watch("open_requests", "Requests under way", lambda: self._listener.open_requests)
+        figures.watch("endpoints", "Endpoints known", lambda: len(self.registry.all()))
+        figures.watch("ready", "Whether new connections are taken", lambda: float(self.ready))
+        figures.watch(
+            "routes_version",
+            "Version of the configuration in force",
+            lambda: self.table.configuration.version if self.table.configuration else 0,
+        )
+        return figures
+
     def _limits(self) -> CallerLimits:
         configuration = self.table.configuration
         return configuration.limits if configuration else CallerLimits()
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/process.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/process.py
@@ -10,6 +10,7 @@
 from mastickeel.clock import Clock
 from mastickeel.errors import SettingsError
 from mastickeel.events import SETTINGS_REFUSED, define
+from mastickeel.linestream import LineStream
 from mastickeel.logs import configure, log
 from mastickeel_router.gateway.gateway import Gateway
 from mastickeel_router.gateway.settings import load
@@ -44,8 +45,10 @@
         SettingsError: When the settings have faults.
     """
     settings = load(path)
-    configure(settings.logs.level, settings.instance.id, stream=sys.stdout)
-    gateway = Gateway(settings, Clock(), lambda client: make_deployment(client, settings))
+    clock = Clock()
+    lines = LineStream(sys.stdout.fileno(), clock)
+    configure(settings.logs.level, settings.instance.id, stream=lines)
+    gateway = Gateway(settings, clock, lambda client: make_deployment(client, settings))
     stop = stop_requested()
     changed = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, changed.set)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -68,6 +68,8 @@
     store: StoreSettings
     peers: PeersSettings | None = None
     """Where the other instances reach this one; None to share nothing."""
+    metrics: ListenSettings | None = None
+    """Where counters and histograms are served; None to serve none."""
     repeats: RepeatLimits = field(default_factory=RepeatLimits)
     stop: StopSettings = field(default_factory=StopSettings)
     sessions: SessionSettings = field(default_factory=SessionSettings)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -89,6 +90,18 @@
     """Time for each event after a stream's first, or for a whole answer; None when not known."""
 
 
+@dataclass(frozen=True)
+class Finished:
+    """How a request of a route came to its end."""
+
+    route: Route
+    outcome: str
+    """``served``, ``refused``, ``failed`` or ``left``."""
+    took_ms: int
+    first_ms: int
+    """Until the first event; the whole time when there was none."""
+
+
 @dataclass(frozen=True)
 class Parts:
     """What the dispatcher works with."""
@@ -105,6 +118,8 @@
     """Keeps the endpoints whose version the request may run on."""
     observe: Callable[[Observed], None]
     """Told of each send."""
+    finish: Callable[[Finished], None]
+    """Told of each request that a route was found for."""
 
 
 class Select(Protocol):
@@ -211,11 +226,8 @@
             await self._give_up(self._timeout_error())
         except MastickeelError as error:
             await self._give_up(error)
-        except StreamClosedError:
-            self._log(REQUEST_LEFT)
-            raise
-        except BaseException:
-            self._log(REQUEST_LEFT)
+        except (StreamClosedError, asyncio.CancelledError):
+            self._end(REQUEST_LEFT)
             raise
 
     async def _send_until_done(self) -> None:
@@ -385,7 +397,7 @@
             assert result.head is not None
             if not self._responder.begun:
                 await self._responder.whole(result.head.status, result.head.headers, result.body)
-            self._log(REQUEST_SERVED, status=result.head.status)
+            self._end(REQUEST_SERVED, status=result.head.status)
         elif step is Next.REFUSE:
             retry_ms = result.retry_after_ms or BUSY_RETRY_MS
             raise UnavailableError("No endpoint took the request.", retry_after_ms=retry_ms)
@@ -401,12 +413,21 @@
     async def _give_up(self, error: MastickeelError) -> None:
         """Ends the request without an endpoint's answer."""
         refused = error.ran is Ran.NO
-        self._log(REQUEST_REFUSED if refused else REQUEST_FAILED, code=error.code)
+        self._end(REQUEST_REFUSED if refused else REQUEST_FAILED, code=error.code)
         if self._responder.begun:
             self._responder.abort()
             return
         await _refuse(self._parts.dialect, error, self._request.id, self._responder)
 
+    def _end(self, event: Event, **fields: object) -> None:
+        """Notes the request's end."""
+        self._log(event, **fields)
+        took_ms = self._parts.clock.now() - self._progress.started_ms
+        first = self._first_event_ms
+        first_ms = took_ms if first is None else first - self._progress.started_ms
+        outcome = event.name.removeprefix("request_")
+        self._parts.finish(Finished(self._route, outcome, took_ms, first_ms))
+
     def _log(self, event: Event, **fields: object) -> None:
         """Writes what is known of the request with an event."""
         parts, progress = self._parts, self._progress
--- /dev/null
+++ b/tests/mastickeel/test_linestream.py
@@ -0,0 +1,74 @@
+"""Log lines never block: what a slow reader or the rate leaves no room for is counted."""
+
+from __future__ import annotations
+
+import os
+import unittest
+
+from mastickeel.clock import FakeClock
+from mastickeel.linestream import (
+    BURST_LINES,
+    LINES_PER_SECOND,
+    PENDING_LIMIT_BYTES,
+    LineStream,
+)
+
+
+class LineStreamTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.clock = FakeClock()
+        self.stream = LineStream(self.writer, self.clock)
+
+    async def asyncTearDown(self) -> None:
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def put(self, text: str) -> None:
+        self.stream.write(text)
+        self.stream.flush()
+
+    def read(self) -> bytes:
+        parts = []
+        while True:
+            try:
+                parts.append(os.read(self.reader, 65_536))
+            except BlockingIOError:
+                return b"".join(parts)
+
+    def test_lines_arrive(self) -> None:
+        self.put("one\n")
+        self.put("two\n")
+        self.assertEqual(self.read(), b"one\ntwo\n")
+
+    async def test_reader_that_stops_blocks_nothing_and_costs_bounded_memory(self) -> None:
+        line = "x" * 999 + "\n"
+        for _ in range(BURST_LINES):
+            self.put(line)
+        self.assertGreater(self.stream.dropped, 0)
+        self.assertLessEqual(len(self.stream._pending), PENDING_LIMIT_BYTES + len(line))
+        self.read()
+        self.stream.flush()
+        self.read()
+        await self.clock.advance(1_000)
+        for _ in range(20):
+            self.put("after\n")
+            self.read()
+        self.put("last\n")
+        self.assertIn(b"last\n", self.read())
+
+    async def test_rate_is_bounded_and_what_is_left_out_is_told(self) -> None:
+        for _ in range(BURST_LINES + 50):
+            self.put("a\n")
+            self.read()
+        self.assertEqual(self.stream.dropped, 50)
+        await self.clock.advance(1_000)
+        for _ in range(LINES_PER_SECOND + 7):
+            self.put("b\n")
+        self.assertEqual(self.stream.dropped, 57)
+        self.assertIn(b'"total": 50', self.read())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/mastickeel_platform/path.py
+++ b/tests/mastickeel_platform/path.py
@@ -34,6 +34,8 @@
 [health]
 listen = "127.0.0.1:0"
 path = "/readyz"
+[metrics]
+listen = "127.0.0.1:0"
 [store]
 urls = ["127.0.0.1:{port}"]
 timeout_ms = 300
--- a/tests/mastickeel_platform/test_gateway.py
+++ b/tests/mastickeel_platform/test_gateway.py
@@ -97,6 +97,17 @@
         await self.begin(respond)
         self.assertEqual([one.id for one in self.gateway.registry.all()], ["i-1"])
 
+    async def test_figures_count_requests_by_kind_and_end(self) -> None:
+        await self.begin(respond)
+        await self.ask("/once/a", "r1")
+        await self.ask("/look/a", "r2")
+        data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+        text = (await call(self.gateway.metrics_port, data)).body.decode()
+        self.assertIn('mastickeel_requests_total{kind="once",outcome="served"} 1.0', text)
+        self.assertIn('mastickeel_first_event_seconds_count{kind="repeatable"} 1.0', text)
+        self.assertIn("mastickeel_ready 1.0", text)
+        self.assertIn("mastickeel_routes_version 7.0", text)
+
     async def test_stop_cuts_no_request(self) -> None:
         go = asyncio.Event()
 
