--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -42,6 +42,42 @@
     """Called with the first answer after that."""
 
 
+def fan_out(readers_by_prefix: dict[str, Reader]) -> Reader:
+    """Makes one reader of several, so that one watch serves them all.
+
+    Args:
+        readers_by_prefix: Who takes the keys with each prefix; no prefix begins another.
+    """
+
+    def reader_of(key: str) -> Reader | None:
+        for prefix, reader in readers_by_prefix.items():
+            if key.startswith(prefix):
+                return reader
+        return None
+
+    def on_list(items: tuple[KeyValue, ...], revision: int) -> None:
+        for prefix, reader in readers_by_prefix.items():
+            reader.on_list(tuple(one for one in items if one.key.startswith(prefix)), revision)
+
+    def on_put(item: KeyValue) -> None:
+        if reader := reader_of(item.key):
+            reader.on_put(item)
+
+    def on_delete(key: str, revision: int) -> None:
+        if reader := reader_of(key):
+            reader.on_delete(key, revision)
+
+    def on_outage() -> None:
+        for reader in readers_by_prefix.values():
+            reader.on_outage()
+
+    def on_return() -> None:
+        for reader in readers_by_prefix.values():
+            reader.on_return()
+
+    return Reader(on_list, on_put, on_delete, on_outage, on_return)
+
+
 async def follow(
     store: Store, prefix: str, reader: Reader, *, clock: Clock, draw: random.Random
 ) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -9,11 +9,9 @@
 from mastickeel.events import define
 from mastickeel.keyvalue import Put
 from mastickeel.logs import log
-from mastickeel_router.discovery.feeds import Reader, follow
+from mastickeel_router.discovery.feeds import Reader
 
 if TYPE_CHECKING:
-    import random
-
     from mastickeel._kvtypes import KeyValue
     from mastickeel.clock import Clock
     from mastickeel.peers import PeerLink
@@ -41,7 +39,6 @@
         prefix: str,
         host: str,
         clock: Clock,
-        draw: random.Random,
     ) -> None:
         """Makes it without an entry.
 
@@ -51,14 +48,13 @@
             prefix: What the keys of the fleet begin with.
             host: Where this instance is reached.
             clock: Times the renewals.
-            draw: Spreads retries.
         """
         self._store = store
         self._link = link
-        self._prefix = f"{prefix}/instances/"
+        self.entries_prefix = f"{prefix}/instances/"
+        """What the keys of entries begin with."""
         self._host = host
         self._clock = clock
-        self._draw = draw
 
     async def keep_registered(self) -> None:
         """Writes the entry, and renews its lease until cancelled."""
@@ -71,29 +67,28 @@
                 # Logged by whoever follows the store; the entry is written anew once it answers.
                 await self._clock.sleep(RETRY_INTERVAL_MS)
 
-    async def follow(self) -> None:
-        """Follows the entries of the others until cancelled."""
-        reader = Reader(self._take_all, self._take, lambda key, revision: self._drop(key))
-        await follow(self._store, self._prefix, reader, clock=self._clock, draw=self._draw)
+    def entry_reader(self) -> Reader:
+        """Returns what takes the entries of the others from the store."""
+        return Reader(self._take_all, self._take, lambda key, revision: self._drop(key))
 
     async def _register(self) -> int:
         lease = await self._store.grant(LEASE_TTL_SECONDS)
         address = f"{self._host}:{self._link.port}"
-        key = f"{self._prefix}{self._link.instance_id}"
+        key = f"{self.entries_prefix}{self._link.instance_id}"
         await self._store.txn((), (Put(key, address.encode(), lease),))
         log(REGISTERED, address=address, lease=lease)
         return lease
 
     def _take_all(self, items: tuple[KeyValue, ...], revision: int) -> None:
-        present = {item.key.removeprefix(self._prefix) for item in items}
+        present = {item.key.removeprefix(self.entries_prefix) for item in items}
         for peer_id in self._link.peer_ids:
             if peer_id not in present:
-                self._drop(f"{self._prefix}{peer_id}")
+                self._drop(f"{self.entries_prefix}{peer_id}")
         for item in items:
             self._take(item)
 
     def _take(self, item: KeyValue) -> None:
-        peer_id = item.key.removeprefix(self._prefix)
+        peer_id = item.key.removeprefix(self.entries_prefix)
         if peer_id == self._link.instance_id:
             return
         try:
@@ -105,6 +100,6 @@
         self._link.connect(peer_id, address)
 
     def _drop(self, key: str) -> None:
-        peer_id = key.removeprefix(self._prefix)
+        peer_id = key.removeprefix(self.entries_prefix)
         log(PEER_GONE, peer=peer_id)
         self._link.disconnect(peer_id)
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -1,6 +1,6 @@
-"""Instances tell each other what work they send to engines, so that all know how busy these are.
+"""What instances tell each other: the work that they send to engines, and what releases showed.
 
-What is told is a hint: lost or late messages cost a worse choice, never a wrong one.
+Lost or late messages cost a worse choice or a later verdict, never a wrong answer.
 """
 
 from __future__ import annotations
@@ -9,10 +9,12 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.peers import message
+from mastickeel_router.releases import Evidence
 
 if TYPE_CHECKING:
     from mastickeel.peers import PeerLink
     from mastickeel_router.placement import EndpointLoads
+    from mastickeel_router.releases import Releases
 
 LEAST_WORK_MS = 20.0
 """Less work than this is not told: it is over before the message has been read."""
@@ -51,3 +53,26 @@
 
     async def _take(self, sender: str, sent: WorkSent) -> None:
         self._loads.note_work(sent.endpoint, sent.work_ms)
+
+
+class EvidenceSharing:
+    """Tells the peers what this instance has seen of releases, and takes theirs."""
+
+    def __init__(self, link: PeerLink, releases: Releases) -> None:
+        """Makes it, and listens on the link.
+
+        Args:
+            link: The way to the peers.
+            releases: Weighs the evidence of all.
+        """
+        self._link = link
+        self._releases = releases
+        releases.on_report.append(self._tell)
+        link.on(Evidence, self._take)
+
+    def _tell(self, evidence: Evidence) -> None:
+        for peer_id in self._link.peer_ids:
+            self._link.tell(peer_id, evidence)
+
+    async def _take(self, sender: str, evidence: Evidence) -> None:
+        self._releases.take_evidence(sender, evidence)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -14,8 +14,8 @@
 from mastickeel.peers import PeerLink
 from mastickeel.tasks import TaskGroup
 from mastickeel_router.discovery import EndpointRegistry, follow
-from mastickeel_router.discovery.feeds import Reader
-from mastickeel_router.fleet import Instances, LoadSharing
+from mastickeel_router.discovery.feeds import Reader, fan_out
+from mastickeel_router.fleet import EvidenceSharing, Instances, LoadSharing
 from mastickeel_router.gateway.figures import Figures, FiguresListener
 from mastickeel_router.gateway.health import HealthListener
 from mastickeel_router.placement import EndpointLoads
@@ -38,6 +38,8 @@
 """How long callers are not listened to while nothing can be served: a refused connection is tried
 elsewhere at once. Later they get an answer that says when to come back."""
 START_CHECK_MS = 5
+EVERYTHING = ""
+"""The prefix of all keys."""
 IDLE_CHECK_MS = 50
 """How often a stop looks whether the open requests have ended."""
 QUIET_MS = 200
@@ -98,7 +100,6 @@
             instance_id=settings.instance.id,
             prefix=settings.store.prefix,
             clock=clock,
-            draw=self.draw,
             session_gap_ms=settings.sessions.gap_ms,
         )
         """Which versions requests may run on while a release is under way."""
@@ -126,12 +127,16 @@
     async def start(self) -> None:
         """Opens the listeners and begins to follow the store."""
         deployment = self._deployment
-        self._follow("operator", deployment.operator_prefix, self._operator_reader())
-        self._follow("endpoints", deployment.entries_prefix, self._entry_reader())
+        readers_by_prefix = {
+            deployment.operator_prefix: self._operator_reader(),
+            deployment.entries_prefix: self._entry_reader(),
+            self.releases.plans_prefix: self.releases.plan_reader(),
+        }
         if self._link is not None and self._instances is not None and self.settings.peers:
             await self._link.bind(self.settings.peers.listen)
             self._tasks.keep_running(self.clock, "register", self._instances.keep_registered)
-            self._tasks.keep_running(self.clock, "follow instances", self._instances.follow)
+            readers_by_prefix[self._instances.entries_prefix] = self._instances.entry_reader()
+        self._follow(fan_out(readers_by_prefix))
         for name, work in self.releases.work_by_name().items():
             self._tasks.keep_running(self.clock, name, work)
         self.health_port = self._health.listen(self.settings.health.listen)
@@ -186,13 +191,13 @@
             return None, None
         link = PeerLink(settings.instance.id, clock=self.clock, metrics=Metrics())
         LoadSharing(link, self.loads)
+        EvidenceSharing(link, self.releases)
         instances = Instances(
             self._deployment.store,
             link,
             prefix=settings.store.prefix,
             host=settings.peers.listen.host,
             clock=self.clock,
-            draw=self.draw,
         )
         return link, instances
 
@@ -234,13 +239,13 @@
     def _write_refusal(self, error: MastickeelError) -> tuple[int, dict[str, str], bytes]:
         return self._deployment.dialect.write_refusal(error, "")
 
-    def _follow(self, name: str, prefix: str, reader: Reader) -> None:
-        """Keeps following a part of the store."""
+    def _follow(self, reader: Reader) -> None:
+        """Keeps following the store; one watch serves all, as each call is paid for."""
         store = self._deployment.store
         self._tasks.keep_running(
             self.clock,
-            f"follow {name}",
-            lambda: follow(store, prefix, reader, clock=self.clock, draw=self.draw),
+            "follow the store",
+            lambda: follow(store, EVERYTHING, reader, clock=self.clock, draw=self.draw),
         )
 
     def _operator_reader(self) -> Reader:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/__init__.py
@@ -1,6 +1,6 @@
 """Releases: a service's traffic is moved to endpoints of another version, or back."""
 
-from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan, ReleaseState
+from mastickeel_router.releases.model import Evidence, ReleaseOrder, ReleasePlan, ReleaseState
 from mastickeel_router.releases.service import Releases
 
-__all__ = ["ReleaseOrder", "ReleasePlan", "ReleaseState", "Releases"]
+__all__ = ["Evidence", "ReleaseOrder", "ReleasePlan", "ReleaseState", "Releases"]
--- a/packages/mastickeel_router/src/mastickeel_router/releases/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/model.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from mastickeel.peers import message
 from mastickeel_router.sequential import Block  # noqa: TC001 - msgspec resolves it at run time
 
 
@@ -41,9 +42,13 @@
     """Calendar time at which the order was first seen."""
 
 
+@message("release_evidence")
 @dataclass(frozen=True)
 class Evidence:
-    """What one instance has seen of both versions since the order."""
+    """What one instance has seen of both versions since the order; sums, so that a later one holds
+    all that a lost one held.
+    """
 
+    service: str
     order_revision: int
     blocks_by_route: dict[str, Block] = field(default_factory=dict)
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,7 @@
 from mastickeel.events import define
 from mastickeel.keyvalue import Put
 from mastickeel.logs import log
-from mastickeel_router.discovery.feeds import Reader, follow
+from mastickeel_router.discovery.feeds import Reader
 from mastickeel_router.duties import Duty, DutyTiming
 from mastickeel_router.relay.policy import SendEnd
 from mastickeel_router.releases.judgement import Verdict, advance
@@ -27,7 +26,6 @@
 from mastickeel_router.sequential import Block
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable, Coroutine, Sequence
     from typing import Any
 
@@ -42,17 +40,16 @@
 """A holder that is lost is replaced within five seconds, under half of the shortest release."""
 LEAD_INTERVAL_MS = 800
 """How often the holder weighs the evidence."""
-REPORT_INTERVAL_MS = 1_500
-"""How often an instance writes what it has seen, if that has changed."""
-WATCH_CHECK_MS = 200
+REPORT_INTERVAL_MS = 700
+"""How often an instance tells what it has seen, if that has changed."""
 HASH_SPAN = float(1 << 64)
 SESSIONS_KEPT = 4_096
 
 ORDER_TAKEN = define(2360, "release_ordered", "info", "The operator ordered a release.")
 PLAN_TAKEN = define(2361, "release_plan", "info", "A release's share or state has changed.")
 PLAN_WRITTEN = define(2362, "release_plan_written", "info", "The duty's holder wrote a plan.")
-EVIDENCE_UNREADABLE = define(
-    2363, "release_evidence_unreadable", "warning", "An instance's evidence cannot be read."
+PLAN_UNREADABLE = define(
+    2363, "release_plan_unreadable", "warning", "A release's plan cannot be read; it is ignored."
 )
 
 
@@ -66,7 +63,6 @@
         instance_id: str,
         prefix: str,
         clock: Clock,
-        draw: random.Random,
         session_gap_ms: int,
     ) -> None:
         """Makes it without any release.
@@ -76,25 +72,25 @@
             instance_id: This instance.
             prefix: What its keys begin with.
             clock: Times stages and sessions.
-            draw: Spreads retries.
             session_gap_ms: How long a session is remembered after a request.
         """
         self._deployment = deployment
         self._store = deployment.store
         self._instance_id = instance_id
-        self._plans_prefix = f"{prefix}/releases/"
-        self._evidence_prefix = f"{prefix}-evidence/"
+        self.plans_prefix = f"{prefix}/releases/"
+        """What the keys of plans begin with."""
+        self.on_report: list[Callable[[Evidence], None]] = []
+        """Told of what this instance has seen, for its peers."""
         self._clock = clock
-        self._draw = draw
         self._session_gap_ms = session_gap_ms
         self._orders_by_service: dict[str, ReleaseOrder] = {}
         self._seen_ms_by_service: dict[str, int] = {}
         self._plans_by_service: dict[str, ReleasePlan] = {}
         self._counts_by_service: dict[str, dict[str, Block]] = {}
         self._reported_by_service: dict[str, dict[str, Block]] = {}
+        self._evidence_by_instance: dict[tuple[str, str], Evidence] = {}
         self._sessions: dict[str, tuple[str, int]] = {}
         self._paces = Paces()
-        self._order_taken = asyncio.Event()
         self._plans_read = False
         self._leaving = False
         self._duty = Duty(
@@ -120,7 +116,6 @@
         self._orders_by_service[order.service] = order
         self._seen_ms_by_service[order.service] = self._clock.now()
         self._counts_by_service[order.service] = {}
-        self._order_taken.set()
         log(
             ORDER_TAKEN,
             service=order.service,
@@ -189,10 +184,17 @@
         if not on_trial:
             self._paces.learn(seen)
 
+    def take_evidence(self, instance_id: str, evidence: Evidence) -> None:
+        """Takes what an instance has seen; every instance keeps it, as any may lead next."""
+        self._evidence_by_instance[evidence.service, instance_id] = evidence
+
+    def plan_reader(self) -> Reader:
+        """Returns what takes the plans from the store."""
+        return Reader(self._take_plans, self._take_plan, lambda key, revision: None)
+
     def work_by_name(self) -> dict[str, Callable[[], Coroutine[Any, Any, None]]]:
         """Returns the background work."""
         return {
-            "release plans": self._follow_plans,
             "release evidence": self._report,
             "release duty": lambda: self._duty.run(self._lead),
         }
@@ -233,23 +235,6 @@
         while len(self._sessions) > SESSIONS_KEPT:
             del self._sessions[next(iter(self._sessions))]
 
-    async def _follow_plans(self) -> None:
-        """Follows the plans while a release runs; at other times nothing is asked of the store."""
-        while True:
-            if not self._running():
-                self._order_taken.clear()
-                await self._order_taken.wait()
-            reader = Reader(self._take_plans, self._take_plan, lambda key, revision: None)
-            following = asyncio.ensure_future(
-                follow(self._store, self._plans_prefix, reader, clock=self._clock, draw=self._draw)
-            )
-            try:
-                while self._running() and not following.done():
-                    await self._clock.sleep(WATCH_CHECK_MS)
-            finally:
-                following.cancel()
-                await asyncio.gather(following, return_exceptions=True)
-
     def _take_plans(self, items: tuple[KeyValue, ...], revision: int) -> None:
         self._plans_read = True
         for item in items:
@@ -259,7 +244,7 @@
         try:
             plan = msgspec.json.decode(item.value, type=ReleasePlan)
         except msgspec.MsgspecError as error:
-            log(EVIDENCE_UNREADABLE, key=item.key, error=str(error))
+            log(PLAN_UNREADABLE, key=item.key, error=str(error))
             return
         if self._plans_by_service.get(plan.service) == plan:
             return
@@ -274,21 +259,18 @@
         )
 
     async def _report(self) -> None:
-        """Writes what this instance has seen, while releases run and there is news."""
+        """Tells the peers what this instance has seen, while releases run and there is news."""
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
             for service in self._running():
                 counts = dict(self._counts_by_service.get(service, {}))
                 if counts == self._reported_by_service.get(service, {}):
                     continue
-                evidence = Evidence(self._orders_by_service[service].revision, counts)
-                key = f"{self._evidence_prefix}{service}/{self._instance_id}"
-                try:
-                    await self._store.txn((), (Put(key, msgspec.json.encode(evidence)),))
-                except StoreError:
-                    # The counts are sums: the next report holds these too.
-                    continue
                 self._reported_by_service[service] = counts
+                evidence = Evidence(service, self._orders_by_service[service].revision, counts)
+                self.take_evidence(self._instance_id, evidence)
+                for tell in self.on_report:
+                    tell(evidence)
 
     async def _lead(self) -> None:
         """Moves each release on, while this instance holds the duty."""
@@ -306,10 +288,9 @@
 
     async def _lead_one(self, order: ReleaseOrder, verdict: Verdict) -> None:
         """Weighs the evidence of one release and writes its plan if that changes."""
-        key = f"{self._plans_prefix}{order.service}"
+        key = f"{self.plans_prefix}{order.service}"
         plan = self._plan(order.service) or await self._read_plan(key, order)
-        found = await self._store.range(f"{self._evidence_prefix}{order.service}/", prefix=True)
-        verdict.take(_add_up(found.items, order))
+        verdict.take(self._add_up(order))
         wall_ms = self._clock.wall()
         seen_for_ms = self._clock.now() - self._seen_ms_by_service[order.service]
         began_wall_ms = plan.began_wall_ms or wall_ms - seen_for_ms
@@ -324,6 +305,16 @@
             return
         await self._write_plan(key, order, wanted)
 
+    def _add_up(self, order: ReleaseOrder) -> dict[str, Block]:
+        """Adds the evidence of all instances for one order."""
+        sums_by_route: dict[str, Block] = {}
+        for evidence in self._evidence_by_instance.values():
+            if evidence.order_revision != order.revision:
+                continue
+            for route, block in evidence.blocks_by_route.items():
+                sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
+        return sums_by_route
+
     async def _read_plan(self, key: str, order: ReleaseOrder) -> ReleasePlan:
         """Returns the plan as the store has it, or a new one for an order without."""
         if (item := await self._store.get(key)) is not None:
@@ -354,19 +345,3 @@
 def _tells(seen: Observed) -> bool:
     """Whether a send says something of the version: refusals of a full endpoint do not."""
     return seen.result.end in (SendEnd.WHOLE, SendEnd.BROKEN)
-
-
-def _add_up(items: Sequence[KeyValue], order: ReleaseOrder) -> dict[str, Block]:
-    """Adds the evidence of all instances for one order."""
-    sums_by_route: dict[str, Block] = {}
-    for item in items:
-        try:
-            evidence = msgspec.json.decode(item.value, type=Evidence)
-        except msgspec.MsgspecError as error:
-            log(EVIDENCE_UNREADABLE, key=item.key, error=str(error))
-            continue
-        if evidence.order_revision != order.revision:
-            continue
-        for route, block in evidence.blocks_by_route.items():
-            sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
-    return sums_by_route
--- a/tests/mastickeel_platform/standins.py
+++ b/tests/mastickeel_platform/standins.py
@@ -207,7 +207,9 @@
 
     async def _carry_out(self, request: Request) -> tuple[int, dict[str, Any]]:
         url = urlsplit(request.target)
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        query = {
+            name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()
+        }
         body = json.loads(request.body) if request.body else {}
         if url.path == "/kv-key":
             item = self.items.get(query["key"])
--- a/tests/mastickeel_platform/test_store.py
+++ b/tests/mastickeel_platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from mastickeel.addresses import Address
 from mastickeel.clock import Clock
@@ -13,6 +14,7 @@
 )
 from mastickeel.httpclient import HttpClient
 from mastickeel.keyvalue import Compare, Delete, Get, Put
+from mastickeel_platform import store
 from mastickeel_platform.store import PlatformStore
 from tests.mastickeel_platform.standins import StoreStandIn
 
@@ -88,6 +90,18 @@
             async for _ in self.store.watch("p/", start + 1):
                 pass
 
+    async def test_watch_whose_channel_went_silent_is_given_up_in_time(self) -> None:
+        # An instance counts as in touch again 3 s after its channels went silent.
+        self.assertLess(store.WATCH_WAIT_MS + store.WATCH_SLACK_MS, 3_000)
+        self.platform.silent = True
+        with (
+            mock.patch.object(store, "WATCH_WAIT_MS", 50),
+            mock.patch.object(store, "WATCH_SLACK_MS", 50),
+            self.assertRaises(StoreUnavailableError),
+        ):
+            async for _ in self.store.watch("p/", 1):
+                pass
+
     async def test_refusals_have_no_effect(self) -> None:
         for status in (429, 503):
             self.platform.refusing = status
--- a/tests/mastickeel_router/fleet/test_sharing.py
+++ b/tests/mastickeel_router/fleet/test_sharing.py
@@ -10,7 +10,7 @@
 from mastickeel.clock import Clock, FakeClock
 from mastickeel.metrics import Metrics
 from mastickeel.peers import PeerLink
-from mastickeel_router.discovery import EndpointRecord
+from mastickeel_router.discovery import EndpointRecord, follow
 from mastickeel_router.fleet import Instances, LoadSharing
 from mastickeel_router.placement import Demand, EndpointLoads
 from mastickeel_router.relay.types import PromptPart
@@ -72,11 +72,12 @@
                 prefix="/m",
                 host="127.0.0.1",
                 clock=clock,
-                draw=random.Random(number),
             )
+            entries, prefix = instances.entry_reader(), instances.entries_prefix
+            following = follow(self.store, prefix, entries, clock=clock, draw=random.Random(number))
             self.tasks += [
                 asyncio.ensure_future(instances.keep_registered()),
-                asyncio.ensure_future(instances.follow()),
+                asyncio.ensure_future(following),
             ]
             self.links.append(link)
             self.loads.append(loads)
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -13,12 +13,12 @@
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
 from mastickeel.keyvalue import Put
-from mastickeel_router.discovery import EndpointRecord
+from mastickeel_router.discovery import EndpointRecord, follow
 from mastickeel_router.gateway import Deployment
 from mastickeel_router.relay.exchange import Observed
 from mastickeel_router.relay.policy import SendEnd, SendResult
 from mastickeel_router.relay.types import CallerRequest, RequestHead
-from mastickeel_router.releases import ReleaseOrder, Releases
+from mastickeel_router.releases import Evidence, ReleaseOrder, Releases
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
 
@@ -59,11 +59,13 @@
             instance_id=name,
             prefix="/m",
             clock=clock,
-            draw=random.Random(name),
             session_gap_ms=5_000,
         )
-        work = self.releases.work_by_name().values()
-        self.tasks: list[asyncio.Task[Any]] = [asyncio.ensure_future(one()) for one in work]
+        draw = random.Random(name)
+        work = [one() for one in self.releases.work_by_name().values()]
+        reader, prefix = self.releases.plan_reader(), self.releases.plans_prefix
+        work.append(follow(store, prefix, reader, clock=clock, draw=draw))
+        self.tasks: list[asyncio.Task[Any]] = [asyncio.ensure_future(one) for one in work]
 
     def kill(self) -> None:
         for task in self.tasks:
@@ -83,11 +85,19 @@
         self.clock = FakeClock()
         self.store = MemoryStore()
         self.instances = [Instance(f"i{number}", self.store, self.clock) for number in range(3)]
+        for one in self.instances:
+            one.releases.on_report.append(lambda evidence, one=one: self.tell(one, evidence))
 
     async def asyncTearDown(self) -> None:
         for instance in self.instances:
             instance.kill()
 
+    def tell(self, sender: Instance, evidence: Evidence) -> None:
+        """Brings what an instance has seen to the others."""
+        for one in self.instances:
+            if one is not sender:
+                one.releases.take_evidence(sender.name, evidence)
+
     def order(self, target: str = "v2") -> None:
         for instance in self.instances:
             instance.releases.take_order(ReleaseOrder("s", target, DURATION_MS, 7))
