--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -126,6 +126,7 @@
         server = HTTPServer(
             self,
             idle_connection_timeout=limits.idle_ms / 1_000,
+            body_timeout=limits.idle_ms / 1_000,
             max_header_size=limits.header_bytes * HEADER_CEILING_FACTOR,
             max_body_size=BODY_CEILING_BYTES,
         )
@@ -138,7 +139,9 @@
     def apply_limits(self, limits: CallerLimits) -> None:
         """Puts new limits in force for connections from now on."""
         if self._server is not None:
+            # Tornado has one limit for an idle connection and for headers that come slowly.
             self._server.conn_params.header_timeout = limits.idle_ms / 1_000
+            self._server.conn_params.body_timeout = limits.idle_ms / 1_000
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
--- a/tests/mastickeel_platform/test_bad_input.py
+++ b/tests/mastickeel_platform/test_bad_input.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
-from typing import TYPE_CHECKING
 
 from tests.mastickeel_platform.path import PathTest
-from tests.mastickeel_platform.standins import Request, answer, call, request_bytes
-
-if TYPE_CHECKING:
-    import asyncio
+from tests.mastickeel_platform.standins import (
+    Request,
+    answer,
+    call,
+    configuration,
+    read_reply,
+    request_bytes,
+)
 
 
 async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
@@ -102,5 +106,33 @@
         self.assertEqual([request.id for request in self.arrivals()], ["outer"])
 
 
+class SlowCallerTest(PathTest):
+    """Callers that take longer than the configuration allows."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        document = configuration(9, *self.ROUTES)
+        document["limits"]["idle_timeout_ms"] = 150
+        self.store.put("op/config", document)
+        await self.begin(respond)
+
+    async def expect_cut(self, data: bytes) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        writer.write(data)
+        reply = await asyncio.wait_for(read_reply(reader), 5)
+        self.assertIn(reply.status, (0, 400, 408))
+        self.assertEqual(self.arrivals(), [])
+        writer.close()
+
+    async def test_headers_that_do_not_end(self) -> None:
+        await self.expect_cut(request_bytes("/once/a")[:-4])
+
+    async def test_body_that_does_not_end(self) -> None:
+        await self.expect_cut(request_bytes("/once/a", body=b"x" * 100)[:-40])
+
+    async def test_connection_that_says_nothing(self) -> None:
+        await self.expect_cut(b"")
+
+
 if __name__ == "__main__":
     unittest.main()
