The largest model's first event is foreseen from its prompt and the engines' backlog

Cause: the cascade expected the same first event for each request; long prompts were given to the largest model when it could not read them in time. Change: the wait is what the best engine would take, reading and backlog, and what first events lately took beyond that.

--- a/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
@@ -8,7 +8,7 @@
 from mastickeel.rendezvous import rank
 from mastickeel_router.breaker import Breakers
 from mastickeel_router.placement.models import FirstEvents
-from mastickeel_router.placement.scoring import Candidate, Demand, read_ms, score
+from mastickeel_router.placement.scoring import Candidate, Demand, read_ms, score, wait_ms
 
 if TYPE_CHECKING:
     import random
@@ -103,6 +103,12 @@
         best = min(cost for cost, _ in scored)
         return self._draw.choice([one for cost, one in scored if cost <= best + TIE_MS])
 
+    def foresee_ms(self, records: Sequence[EndpointRecord], demand: Demand, model: str) -> float:
+        """Returns how long a first event would take at the best endpoint; 0 without endpoints."""
+        home = self._home(records, demand) if records else ""
+        candidates = (self._candidate(one, demand, model, home) for one in records)
+        return min((wait_ms(demand, candidate) for candidate in candidates), default=0.0)
+
     def _home(self, records: Sequence[EndpointRecord], demand: Demand) -> str:
         """Returns where all instances send such prompts first."""
         if not demand.parts:
--- a/packages/mastickeel_router/src/mastickeel_router/placement/models.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/models.py
@@ -18,8 +18,8 @@
 """How much more must be expected of the larger model: its run also slows its neighbours."""
 SPREAD = 0.5
 """The part of the objective over which the chance to be in time goes from 1 to 0."""
-FIRST_EVENT_MS = 600.0
-"""How long a first event is taken to need before one has been seen."""
+EXTRA_MS = 100.0
+"""What a first event takes beyond reading and backlog, before one has been seen."""
 WEIGHT = 0.3
 """The weight of the newest first event in the average."""
 MEMORY_MS = 8_000.0
@@ -39,8 +39,8 @@
     waited_ms: float
     """Since the request arrived."""
     objective_ms: float
-    larger_first_ms: float = FIRST_EVENT_MS
-    """How long the largest model's first event takes at present."""
+    larger_first_ms: float
+    """How long the largest model's first event is expected to take."""
 
 
 def next_size(opinion: Opinion) -> int | None:
@@ -57,7 +57,10 @@
 
 
 class FirstEvents:
-    """How long first events take lately, by model; what is old counts less and less."""
+    """What first events take lately beyond what was foreseen, by model.
+
+    What is old counts less and less.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Makes it with nothing seen.
@@ -68,17 +71,18 @@
         self._clock = clock
         self._seen_by_model: dict[str, tuple[float, int]] = {}
 
-    def note(self, model: str, first_ms: float) -> None:
-        """Takes the time from a send to its first event."""
-        average = self.expect(model)
+    def note(self, model: str, first_ms: float, foreseen_ms: float) -> None:
+        """Takes the time from a send to its first event, and what was foreseen."""
+        average = self.extra_ms(model)
         now = self._clock.now()
-        self._seen_by_model[model] = (average + WEIGHT * (first_ms - average), now)
+        extra = max(0.0, first_ms - foreseen_ms)
+        self._seen_by_model[model] = (average + WEIGHT * (extra - average), now)
 
-    def expect(self, model: str) -> float:
-        """Returns how long a first event is expected to take, in milliseconds."""
+    def extra_ms(self, model: str) -> float:
+        """Returns what to expect beyond reading and backlog, in milliseconds."""
         seen = self._seen_by_model.get(model)
         if seen is None:
-            return FIRST_EVENT_MS
+            return EXTRA_MS
         average, at_ms = seen
         kept = max(0.0, 1 - (self._clock.now() - at_ms) / MEMORY_MS)
-        return FIRST_EVENT_MS + kept * (average - FIRST_EVENT_MS)
+        return EXTRA_MS + kept * (average - EXTRA_MS)
--- a/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/scoring.py
@@ -74,8 +74,13 @@
 def score(demand: Demand, candidate: Candidate) -> float:
     """Returns what the request would cost there, in milliseconds; less is better."""
     distance_ms = 0.0 if candidate.same_data_centre else OTHER_DATA_CENTRE_MS
+    return wait_ms(demand, candidate) + distance_ms
+
+
+def wait_ms(demand: Demand, candidate: Candidate) -> float:
+    """Returns how long the request is expected to wait there for its first event."""
     if not demand.is_engine:
         load_ms = RUN_MS * candidate.running / max(1, candidate.slots)
-        return (RUN_MS + load_ms) * candidate.slowness + distance_ms
+        return (RUN_MS + load_ms) * candidate.slowness
     load_ms = candidate.backlog_ms + SLOWDOWN_PER_RUN_MS * candidate.running
-    return (read_ms(demand, candidate) + load_ms) * candidate.slowness + distance_ms
+    return (read_ms(demand, candidate) + load_ms) * candidate.slowness
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -198,6 +198,7 @@
         self._progress = Progress(parts.clock.now(), last_event=request.last_event)
         self._first_event_ms: int | None = None
         self._sent_ms = 0
+        self._foreseen_ms = 0.0
         limit = route.timeout_ms
         if request.deadline_ms is not None:
             limit = min(limit, request.deadline_ms - ANSWER_MARGIN_MS)
@@ -262,12 +263,9 @@
             EndpointError: When there is none, and it may have.
         """
         parts = self._parts
-        known = parts.registry.usable(self._service)
-        records = parts.select(
-            self._service, self._request, known, failed=self._progress.failures > 0
-        )
+        records = self._records()
         untried = [one for one in records if one.id not in self._progress.tried]
-        endpoint = parts.loads.choose(untried or records, self._demand(), self._model)
+        endpoint = parts.loads.choose(untried or records, self._demand(self._size), self._model)
         if endpoint is not None:
             return endpoint
         detail = f"No endpoint of {self._service} is known."
@@ -275,14 +273,21 @@
             raise EndpointError(detail)
         raise UnavailableError(detail, retry_after_ms=ABSENT_RETRY_MS)
 
-    def _demand(self) -> Demand:
-        """Returns what the next send asks of an endpoint."""
+    def _records(self) -> Sequence[EndpointRecord]:
+        """Returns the endpoints that the next send may go to."""
+        known = self._parts.registry.usable(self._service)
+        failed = self._progress.failures > 0
+        return self._parts.select(self._service, self._request, known, failed=failed)
+
+    def _demand(self, size: int) -> Demand:
+        """Returns what a send for a model, by its place, asks of an endpoint."""
         prompt = self._request.prompt
         if prompt is None:
             return Demand()
-        return Demand(prompt.tokens_in, prompt.parts, is_engine=True, work=self._work())
+        work = self._work(size)
+        return Demand(prompt.tokens_in, prompt.parts, is_engine=True, work=work)
 
-    def _work(self) -> float:
+    def _work(self, size: int) -> float:
         """Estimates how long the model takes for a token from its price against the largest's."""
         configuration = self._parts.table.configuration
         service = configuration.services_by_name.get(self._service) if configuration else None
@@ -292,7 +297,7 @@
         costs = [models_by_name[one].cost for one in self._models if one in models_by_name]
         if len(costs) < len(self._models) or not costs[-1]:
             return 1.0
-        return max(SMALLEST_WORK, LARGEST_WORK * costs[self._size] / costs[-1])
+        return max(SMALLEST_WORK, LARGEST_WORK * costs[size] / costs[-1])
 
     async def _send(self, endpoint: EndpointRecord) -> SendResult:
         """Sends the request to one endpoint and notes what that showed."""
@@ -310,7 +315,9 @@
             progress=progress,
             judge=self._accepts,
         )
-        parts.loads.begin(endpoint, self._demand(), self._model)
+        demand = self._demand(self._size)
+        self._foreseen_ms = parts.loads.foresee_ms([endpoint], demand, self._model)
+        parts.loads.begin(endpoint, demand, self._model)
         try:
             result = await self._sender.send(
                 http_request, endpoint, answer, route=self._route, left_ms=self._left_ms
@@ -356,9 +363,10 @@
             sizes=len(self._models),
             waited_ms=now - self._progress.started_ms,
             objective_ms=self._route.objective_ms,
-            larger_first_ms=self._parts.loads.first_events.expect(self._models[-1]),
+            larger_first_ms=self._foresee_largest_ms(),
         )
-        self._parts.loads.first_events.note(self._model, now - self._sent_ms)
+        loads = self._parts.loads
+        loads.first_events.note(self._model, now - self._sent_ms, self._foreseen_ms)
         self._confidence = head.confidence
         larger = next_size(opinion)
         if larger is not None and self._may_drop() and self._parts.budget.take(self._service):
@@ -367,6 +375,14 @@
         self._first_event_ms = now
         return True
 
+    def _foresee_largest_ms(self) -> float:
+        """Returns how long the largest model's first event would take now."""
+        parts, model = self._parts, self._models[-1]
+        demand = self._demand(len(self._models) - 1)
+        records = self._records()
+        foreseen_ms = parts.loads.foresee_ms(records, demand, model)
+        return foreseen_ms + parts.loads.first_events.extra_ms(model)
+
     def _may_drop(self) -> bool:
         """Whether a larger model may be asked instead."""
         return self._progress.sends < self._route.attempts and self._route.may_repeat
--- a/tests/mastickeel_router/placement/test_placement.py
+++ b/tests/mastickeel_router/placement/test_placement.py
@@ -11,7 +11,7 @@
 from mastickeel_router.discovery import EndpointRecord
 from mastickeel_router.placement import Candidate, Demand, EndpointLoads, score
 from mastickeel_router.placement.models import (
-    FIRST_EVENT_MS,
+    EXTRA_MS,
     MEMORY_MS,
     FirstEvents,
     Opinion,
@@ -83,7 +83,8 @@
 
 class ModelTest(unittest.IsolatedAsyncioTestCase):
     def opinion(self, confidence: int | None, **changes: float) -> Opinion:
-        fields = {"size": 0, "sizes": 3, "waited_ms": 100.0, "objective_ms": 3_000.0} | changes
+        fields = {"size": 0, "sizes": 3, "waited_ms": 100.0, "objective_ms": 3_000.0}
+        fields |= {"larger_first_ms": 600.0} | changes
         return Opinion(confidence, **fields)
 
     def test_doubt_asks_the_largest(self) -> None:
@@ -102,12 +103,12 @@
     async def test_first_events_are_learned_and_forgotten(self) -> None:
         clock = FakeClock()
         seen = FirstEvents(clock)
-        self.assertEqual(seen.expect("m"), FIRST_EVENT_MS)
+        self.assertEqual(seen.extra_ms("m"), EXTRA_MS)
         for _ in range(20):
-            seen.note("m", 4_000)
-        self.assertGreater(seen.expect("m"), 3_500)
+            seen.note("m", 4_000, 100)
+        self.assertGreater(seen.extra_ms("m"), 3_500)
         await clock.advance(round(MEMORY_MS))
-        self.assertEqual(seen.expect("m"), FIRST_EVENT_MS)
+        self.assertEqual(seen.extra_ms("m"), EXTRA_MS)
 
 
 if __name__ == "__main__":
