An endpoint that cannot be reached uses up no attempt; no larger answer that cannot end in time

Change: a send that made no connection is neither an attempt nor a repeat, four at most; the larger model is asked only if its whole answer can end in the time that is left.

--- a/packages/mastickeel_router/src/mastickeel_router/placement/models.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/models.py
@@ -41,12 +41,18 @@
     objective_ms: float
     larger_first_ms: float
     """How long the largest model's first event is expected to take."""
+    larger_rest_ms: float = 0.0
+    """How long the rest of its answer takes at most."""
+    left_ms: float = 60_000.0
+    """What is left of the caller's time."""
 
 
 def next_size(opinion: Opinion) -> int | None:
     """Returns the place of the model that should answer instead; None to take the answer."""
     if opinion.confidence is None or opinion.size + 1 >= opinion.sizes:
         return None
+    if opinion.larger_first_ms + opinion.larger_rest_ms > opinion.left_ms:
+        return None
     in_time = opinion.waited_ms <= opinion.objective_ms
     taken = opinion.confidence / 100 * (1.0 if in_time else LATE_VALUE)
     expected_ms = opinion.waited_ms + opinion.larger_first_ms
--- a/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/exchange.py
@@ -50,6 +50,8 @@
 LARGEST_WORK = 3.0
 """How long the largest model takes for a token, against the engine's sheet."""
 SMALLEST_WORK = 0.3
+LARGEST_TOKEN_MS = 16.0
+"""How long the largest model takes for a generated token, as the engines' sheets say."""
 HIGHEST_URGENCY = 9
 SIZE_RANK = 3
 """How much less urgent a larger model is: what is read fast goes first."""
@@ -238,15 +240,12 @@
             result = await self._send(endpoint)
             situation = Situation(
                 sends=self._progress.sends,
+                unreached=self._progress.unreached,
                 left_ms=self._left_ms,
                 head_passed=self._progress.head_passed,
                 may_have_run=self._progress.may_have_run,
             )
-            # A larger model has been paid for when the smaller one's answer was given up.
-            paid = result.end is SendEnd.DROPPED or (
-                wants_repeat(result, self._route, situation)
-                and self._parts.budget.take(self._service)
-            )
+            paid = self._may_send_again(result, situation)
             step = next_step(result, self._route, situation, paid=paid)
             if result.end is not SendEnd.WHOLE or step is not Next.DELIVER:
                 self._log(SEND_ENDED, endpoint=endpoint.id, reason=result.reason, then=step.value)
@@ -255,6 +254,15 @@
             await self._finish(step, result)
             return
 
+    def _may_send_again(self, result: SendResult, situation: Situation) -> bool:
+        """Says whether a further send is right and paid for."""
+        if result.end is SendEnd.DROPPED:
+            # A larger model has been paid for when the smaller one's answer was given up.
+            return True
+        if not wants_repeat(result, self._route, situation):
+            return False
+        return result.end is SendEnd.UNREACHED or self._parts.budget.take(self._service)
+
     def _choose(self) -> EndpointRecord:
         """Chooses the endpoint of the next send.
 
@@ -326,7 +334,10 @@
             parts.loads.end(endpoint.id)
         if result.end is SendEnd.BROKEN or (result.head and result.head.status >= 500):
             progress.failures += 1
-        if result.end is SendEnd.NOT_RUN:
+        if result.end is SendEnd.UNREACHED:
+            progress.sends -= 1
+            progress.unreached += 1
+        if result.end in (SendEnd.NOT_RUN, SendEnd.UNREACHED):
             progress.may_have_run = ran_before
         self._note(endpoint, result, began_ms)
         return result
@@ -364,6 +375,8 @@
             waited_ms=now - self._progress.started_ms,
             objective_ms=self._route.objective_ms,
             larger_first_ms=self._foresee_largest_ms(),
+            larger_rest_ms=LARGEST_TOKEN_MS * self._tokens_out,
+            left_ms=self._left_ms,
         )
         loads = self._parts.loads
         loads.first_events.note(self._model, now - self._sent_ms, self._foreseen_ms)
@@ -375,6 +388,11 @@
         self._first_event_ms = now
         return True
 
+    @property
+    def _tokens_out(self) -> int:
+        """The most tokens that the answer may have."""
+        return self._request.prompt.tokens_out if self._request.prompt else 0
+
     def _foresee_largest_ms(self) -> float:
         """Returns how long the largest model's first event would take now."""
         parts, model = self._parts, self._models[-1]
@@ -392,8 +410,8 @@
         breakers = self._parts.loads.breakers
         if result.end is SendEnd.WHOLE:
             breakers.note_success(endpoint.id)
-        elif result.end is SendEnd.BROKEN or result.head is None:
-            breakers.note_failure(endpoint.id, unreachable=result.end is SendEnd.NOT_RUN)
+        elif result.end in (SendEnd.BROKEN, SendEnd.UNREACHED):
+            breakers.note_failure(endpoint.id, unreachable=result.end is SendEnd.UNREACHED)
         pace_ms = self._pace(result, began_ms)
         self._parts.observe(Observed(endpoint, self._route, result, pace_ms))
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -12,6 +12,8 @@
 
 NOT_RUN_PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run and never will."""
+MOST_UNREACHED = 4
+"""Endpoints that may be tried in vain: with more, waiting costs more than a refusal."""
 SHORTEST_SEND_MS = 30
 """With less time than this left, a further send cannot bring an answer: the fastest plain calls
 take about as long."""
@@ -22,6 +24,8 @@
 
     WHOLE = "whole"
     """A whole answer to this request arrived; streams have been passed on to their end."""
+    UNREACHED = "unreached"
+    """No connection could be made: nothing was sent."""
     NOT_RUN = "not_run"
     """The request surely did not run there."""
     BROKEN = "broken"
@@ -61,6 +65,8 @@
     """What is known of a request after a send."""
 
     sends: int
+    unreached: int
+    """Endpoints to which no connection could be made."""
     left_ms: float
     head_passed: bool
     """Whether the caller has a part of an answer."""
@@ -90,7 +96,11 @@
 
 def wants_repeat(result: SendResult, route: Route, situation: Situation) -> bool:
     """Says whether a further send is right, the budget of repeats aside."""
-    if situation.sends >= route.attempts or situation.left_ms < SHORTEST_SEND_MS:
+    if situation.left_ms < SHORTEST_SEND_MS:
+        return False
+    if result.end is SendEnd.UNREACHED:
+        return situation.unreached < MOST_UNREACHED
+    if situation.sends >= route.attempts:
         return False
     if result.end is SendEnd.NOT_RUN:
         return route.may_repeat or not situation.may_have_run
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -104,7 +104,7 @@
             # costs the endpoint a millisecond.
             connection = await self._client.connect(endpoint.address, waits=waits, fresh=True)
         except ConnectionFailedError as error:
-            return SendResult(SendEnd.NOT_RUN, reason=f"{error.code}: {error.detail}")
+            return SendResult(SendEnd.UNREACHED, reason=f"{error.code}: {error.detail}")
         answer.begin()
         try:
             await connection.exchange(
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -129,6 +129,8 @@
 
     started_ms: int
     sends: int = 0
+    unreached: int = 0
+    """Endpoints to which no connection could be made; they are no sends."""
     tried: list[str] = field(default_factory=list)
     """Endpoints that it was sent to, in order."""
     failures: int = 0
--- a/tests/mastickeel_platform/test_answers.py
+++ b/tests/mastickeel_platform/test_answers.py
@@ -186,6 +186,13 @@
         reply = await self.ask("/look/a")
         self.assertEqual((reply.status, reply.body, len(self.arrivals())), (500, b"broken", 2))
 
+    async def test_endpoints_that_cannot_be_reached_use_up_no_attempt(self) -> None:
+        await self.begin(respond_whole, respond_whole, respond_whole)
+        for endpoint in self.endpoints[:2]:
+            await endpoint.stop()
+        replies = [await self.ask("/once/a", f"r{number}") for number in range(6)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+
     async def test_address_of_another_endpoint_is_not_run(self) -> None:
         async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
             writer.write(answer(request, b"", status="421 Misdirected", signature=False))
--- a/tests/mastickeel_router/placement/test_placement.py
+++ b/tests/mastickeel_router/placement/test_placement.py
@@ -100,6 +100,10 @@
         self.assertIsNone(next_size(self.opinion(30, **slow)))
         self.assertEqual(next_size(self.opinion(30)), 2)
 
+    def test_answer_that_could_not_end_in_time_is_not_asked_for(self) -> None:
+        short = {"left_ms": 3_000.0, "larger_rest_ms": 2_500.0}
+        self.assertIsNone(next_size(self.opinion(0, **short)))
+
     async def test_first_events_are_learned_and_forgotten(self) -> None:
         clock = FakeClock()
         seen = FirstEvents(clock)
--- a/tests/mastickeel_router/relay/test_policy.py
+++ b/tests/mastickeel_router/relay/test_policy.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from mastickeel_router.relay.policy import (
+    MOST_UNREACHED,
     Next,
     SendEnd,
     SendResult,
@@ -21,7 +22,7 @@
 
 SOUND = AnswerHead(200, HTTPHeaders(), "a1", signed=True)
 STREAM = replace(SOUND, is_stream=True)
-FIRST = Situation(sends=1, left_ms=1_000, head_passed=False, may_have_run=True)
+FIRST = Situation(sends=1, unreached=0, left_ms=1_000, head_passed=False, may_have_run=True)
 
 
 def route(kind: RouteKind, attempts: int = 3, resumable: bool = True) -> Route:
@@ -69,6 +70,12 @@
         fixed = route(RouteKind.STREAM, resumable=False)
         self.assertFalse(wants_repeat(SendResult(SendEnd.BROKEN), fixed, FIRST))
 
+    def test_unreached_endpoint_is_no_attempt(self) -> None:
+        unreached = SendResult(SendEnd.UNREACHED)
+        for kind in (ONCE, REPEATABLE):
+            self.assertTrue(wants_repeat(unreached, kind, replace(FIRST, sends=3, unreached=1)))
+        self.assertFalse(wants_repeat(unreached, ONCE, replace(FIRST, unreached=MOST_UNREACHED)))
+
     def test_attempts_and_time_end_the_repeats(self) -> None:
         broken = SendResult(SendEnd.BROKEN)
         self.assertTrue(wants_repeat(broken, REPEATABLE, FIRST))
