--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -16,12 +16,13 @@
 from mastickeel_router.discovery import EndpointRegistry, follow
 from mastickeel_router.discovery.feeds import Reader, fan_out
 from mastickeel_router.fleet import EvidenceSharing, Instances, LoadSharing
-from mastickeel_router.gateway.figures import Figures, FiguresListener
-from mastickeel_router.gateway.health import HealthListener
+from mastickeel_router.gateway.figures import PATH as FIGURES_PATH
+from mastickeel_router.gateway.figures import Figures
+from mastickeel_router.gateway.pages import Page, PageListener
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.relay import CallerListener, Dispatcher
 from mastickeel_router.relay.budget import RepeatBudget
-from mastickeel_router.relay.exchange import Parts
+from mastickeel_router.relay.context import Context
 from mastickeel_router.releases import ReleaseOrder, Releases
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
 
@@ -32,7 +33,7 @@
     from mastickeel.clock import Clock
     from mastickeel_router.gateway.deployment import Deployment
     from mastickeel_router.gateway.settings import GatewaySettings
-    from mastickeel_router.relay.exchange import Observed
+    from mastickeel_router.relay.context import Observed
 
 START_WAIT_MS = 1_500
 """How long callers are not listened to while nothing can be served: a refused connection is tried
@@ -108,10 +109,10 @@
         self.table.on_change.append(lambda new: self._listener.apply_limits(new.limits))
         self.figures = self._make_figures()
         """What it counts."""
-        self._figures_listener = FiguresListener(self.figures)
-        self._dispatcher = Dispatcher(self._parts())
+        self._figures_listener = PageListener(FIGURES_PATH, self.figures.page)
+        self._dispatcher = Dispatcher(self._context())
         self._listener = CallerListener(self._dispatcher.serve, self._write_refusal, self._limits)
-        self._health = HealthListener(settings.health.path, lambda: self.ready)
+        self._health = PageListener(settings.health.path, lambda: Page(200 if self.ready else 503))
 
     @property
     def ready(self) -> bool:
@@ -201,8 +202,8 @@
         )
         return link, instances
 
-    def _parts(self) -> Parts:
-        return Parts(
+    def _context(self) -> Context:
+        return Context(
             clock=self.clock,
             draw=self.draw,
             client=self.http,
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/health.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/pages.py
@@ -1,7 +1,9 @@
-"""The health check of the load balancer in front of the instances."""
+"""A listener for pages that are made when they are asked for: health checks and figures."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from http.client import responses
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
@@ -14,18 +16,27 @@
     from mastickeel.addresses import Address
 
 
-class HealthListener:
-    """Answers 200 while the instance takes new connections, 503 otherwise."""
+@dataclass(frozen=True)
+class Page:
+    """What is answered."""
 
-    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+    status: int
+    body: bytes = b""
+    content_type: str = "text/plain"
+
+
+class PageListener:
+    """Answers one path with a page, and every other with 404."""
+
+    def __init__(self, path: str, make: Callable[[], Page]) -> None:
         """Makes a listener that does not listen yet.
 
         Args:
             path: The path that is asked for.
-            is_ready: Whether new connections are wanted.
+            make: Makes its page.
         """
         self._path = path
-        self._is_ready = is_ready
+        self._make = make
         self._server = HTTPServer(self._answer)
 
     def listen(self, address: Address) -> int:
@@ -41,10 +52,10 @@
         await self._server.close_all_connections()
 
     def _answer(self, request: HTTPServerRequest) -> None:
-        status, reason = 404, "Not Found"
-        if request.path == self._path:
-            status, reason = (200, "OK") if self._is_ready() else (503, "Service Unavailable")
+        page = self._make() if request.path == self._path else Page(404)
+        headers = HTTPHeaders({"Content-Type": page.content_type})
+        headers["Content-Length"] = str(len(page.body))
+        line = ResponseStartLine("HTTP/1.1", page.status, responses[page.status])
         assert request.connection is not None
-        headers = HTTPHeaders({"Content-Length": "0"})
-        request.connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers)
+        request.connection.write_headers(line, headers, page.body)
         request.connection.finish()
--- a/packages/mastickeel_router/src/mastickeel_router/placement/models.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/models.py
@@ -14,7 +14,7 @@
 """What an answer after the latency objective is worth, against one in time."""
 LARGEST_PRICE = 0.12
 """What a run of the largest model costs, against the worth of a good answer."""
-MARGIN = 0.35
+MARGIN = 0.45
 """How much more must be expected of the larger model: its run also slows its neighbours."""
 SPREAD = 0.5
 """The part of the objective over which the chance to be in time goes from 1 to 0."""
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -0,0 +1,92 @@
+"""What the relay works with, and what it tells of each send and each request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from mastickeel.events import define
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from mastickeel.clock import Clock
+    from mastickeel.httpclient import HttpClient
+    from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
+    from mastickeel_router.placement import EndpointLoads
+    from mastickeel_router.relay.budget import RepeatBudget
+    from mastickeel_router.relay.policy import SendResult
+    from mastickeel_router.relay.types import CallerRequest, Dialect
+    from mastickeel_router.routes import Route, RouteTable
+
+REQUEST_SERVED = define(2340, "request_served", "info", "A request got an endpoint's answer.")
+REQUEST_REFUSED = define(
+    2341, "request_refused", "info", "A request was refused; it did not run. See code and sends."
+)
+REQUEST_FAILED = define(
+    2342, "request_failed", "warning", "A request failed after it may have run. See the sends."
+)
+REQUEST_LEFT = define(2343, "request_left", "info", "The caller left before the answer's end.")
+SEND_ENDED = define(
+    2344, "send_ended", "info", "A send brought no whole answer; says why and what follows."
+)
+
+
+@dataclass(frozen=True)
+class Observed:
+    """What one send showed of an endpoint."""
+
+    endpoint: EndpointRecord
+    route: Route
+    result: SendResult
+    model: str = ""
+    """The model that was asked; empty for plain services."""
+    pace_ms: float | None = None
+    """Time for each event after a stream's first, or for a whole answer; None when not known."""
+
+
+@dataclass(frozen=True)
+class Finished:
+    """How a request of a route came to its end."""
+
+    route: Route
+    outcome: str
+    """``served``, ``refused``, ``failed`` or ``left``."""
+    took_ms: int
+    first_ms: int
+    """Until the first event; the whole time when there was none."""
+
+
+@dataclass(frozen=True)
+class Context:
+    """What the relay works with."""
+
+    clock: Clock
+    draw: random.Random
+    client: HttpClient
+    dialect: Dialect
+    table: RouteTable
+    registry: EndpointRegistry
+    loads: EndpointLoads
+    budget: RepeatBudget
+    select: Select
+    """Keeps the endpoints whose version the request may run on."""
+    observe: Callable[[Observed], None]
+    """Told of each send."""
+    finish: Callable[[Finished], None]
+    """Told of each request that a route was found for."""
+
+
+class Select(Protocol):
+    """Keeps the endpoints whose version a request may run on."""
+
+    def __call__(
+        self,
+        service: str,
+        request: CallerRequest,
+        records: Sequence[EndpointRecord],
+        *,
+        failed: bool = False,
+    ) -> Sequence[EndpointRecord]:
+        """Returns those of the records that may be sent the request."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/quality.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/quality.py
@@ -9,7 +9,7 @@
 from mastickeel_router.relay.policy import SendEnd
 
 if TYPE_CHECKING:
-    from mastickeel_router.relay.exchange import Observed
+    from mastickeel_router.relay.context import Observed
 
 SLOW_FACTOR = 3.5
 """How many times the usual pace is slow; load alone slows engines by under twice."""
@@ -19,10 +19,10 @@
 
 
 class Paces:
-    """The usual pace of each route's answers."""
+    """The usual pace of each route's answers, by model."""
 
     def __init__(self) -> None:
-        self._samples_by_route: dict[str, deque[float]] = {}
+        self._samples: dict[tuple[str, str], deque[float]] = {}
 
     def is_bad(self, seen: Observed) -> bool:
         """Says whether an answer was bad."""
@@ -31,7 +31,7 @@
             return True
         if result.head is not None and result.head.status >= 500:
             return True
-        samples = self._samples_by_route.get(seen.route.name, ())
+        samples = self._samples.get((seen.route.name, seen.model), ())
         if seen.pace_ms is None or len(samples) < SAMPLES_NEEDED:
             return False
         return seen.pace_ms > SLOW_FACTOR * median(samples)
@@ -40,5 +40,7 @@
         """Takes a sound answer of a version that is not on trial."""
         if seen.pace_ms is None or seen.result.end is not SendEnd.WHOLE:
             return
-        samples = self._samples_by_route.setdefault(seen.route.name, deque(maxlen=SAMPLES_KEPT))
+        samples = self._samples.setdefault(
+            (seen.route.name, seen.model), deque(maxlen=SAMPLES_KEPT)
+        )
         samples.append(seen.pace_ms)
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -33,7 +33,7 @@
     from mastickeel.clock import Clock
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.gateway.deployment import Deployment
-    from mastickeel_router.relay.exchange import Observed
+    from mastickeel_router.relay.context import Observed
     from mastickeel_router.relay.types import CallerRequest
 
 TIMING = DutyTiming(ttl_seconds=3, renew_ms=800, campaign_ms=1_800)
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -15,7 +15,7 @@
 from mastickeel.keyvalue import Put
 from mastickeel_router.discovery import EndpointRecord, follow
 from mastickeel_router.gateway import Deployment
-from mastickeel_router.relay.exchange import Observed
+from mastickeel_router.relay.context import Observed
 from mastickeel_router.relay.policy import SendEnd, SendResult
 from mastickeel_router.relay.types import CallerRequest, RequestHead
 from mastickeel_router.releases import Evidence, ReleaseOrder, Releases
@@ -77,7 +77,7 @@
 
     def answer(self, record: EndpointRecord, bad: bool = False) -> None:
         end = SendEnd.BROKEN if bad else SendEnd.WHOLE
-        self.releases.observe(Observed(record, ROUTE, SendResult(end), 40.0))
+        self.releases.observe(Observed(record, ROUTE, SendResult(end), "", 40.0))
 
 
 class ReleasesTest(unittest.IsolatedAsyncioTestCase):
