Times to come back are spread; tests of the cascade

Cause: callers refused together were told the same time, and would come back together. Change: each time is varied by 0.4 either way.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -57,7 +57,6 @@
     body: bytes = b""
     reason: str = ""
     """Why it is not whole, for the log."""
-    retry_after_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -50,6 +50,8 @@
 """When to come back after every endpoint refused: about the work that a full queue holds."""
 ABSENT_RETRY_MS = 1_000
 """When to come back while no endpoint is known: endpoints register about once a second."""
+RETRY_SPREAD = 0.4
+"""The part by which a time to come back is varied either way."""
 HIGHEST_URGENCY = 9
 """The largest rank that engines know."""
 SIZE_RANK = 3
@@ -174,7 +176,7 @@
         detail = f"No endpoint of {self._service} is known."
         if self._progress.may_have_run:
             raise EndpointError(detail)
-        raise UnavailableError(detail, retry_after_ms=ABSENT_RETRY_MS)
+        raise UnavailableError(detail, retry_after_ms=self._spread(ABSENT_RETRY_MS))
 
     def _engine_traits(self) -> EngineTraits | None:
         """Returns what the configuration says of the service's engines."""
@@ -294,11 +296,15 @@
                 await self._responder.whole(result.head.status, result.head.headers, result.body)
             self._end(REQUEST_SERVED, status=result.head.status)
         elif step is Next.REFUSE:
-            retry_ms = result.retry_after_ms or BUSY_RETRY_MS
+            retry_ms = self._spread(BUSY_RETRY_MS)
             raise UnavailableError("No endpoint took the request.", retry_after_ms=retry_ms)
         else:
             raise EndpointError(f"The last endpoint: {result.reason}.")
 
+    def _spread(self, retry_ms: int) -> int:
+        """Spreads the return of callers that are refused together."""
+        return round(retry_ms * self._context.draw.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD))
+
     def _timeout_error(self) -> MastickeelError:
         """Says what a caller is told whose time is over."""
         if self._progress.may_have_run:
--- a/tests/mastickeel_platform/test_answers.py
+++ b/tests/mastickeel_platform/test_answers.py
@@ -169,6 +169,12 @@
         self.assertEqual(json.loads(reply.body)["ran"], "no")
         self.assertGreater(float(reply.headers["retry-after"]), 0)
 
+    async def test_callers_refused_together_are_told_different_times(self) -> None:
+        await self.begin(respond_not_run)
+        replies = [await self.ask("/once/a", f"r{number}") for number in range(8)]
+        times = {reply.headers["retry-after"] for reply in replies}
+        self.assertGreater(len(times), 4)
+
     async def test_full_status_without_the_mark_promises_nothing(self) -> None:
         async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
             writer.write(answer(request, b"", status="503 Busy"))
--- /dev/null
+++ b/tests/mastickeel_router/relay/test_cascade.py
@@ -0,0 +1,81 @@
+"""Which model is asked, and what its work is taken to be."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tornado.httputil import HTTPHeaders
+
+from mastickeel.addresses import Address
+from mastickeel.clock import FakeClock
+from mastickeel_router.discovery import EndpointRecord
+from mastickeel_router.placement import EndpointLoads
+from mastickeel_router.relay.cascade import LARGEST_WORK, SMALLEST_WORK, Cascade
+from mastickeel_router.relay.types import (
+    ANY_MODEL,
+    AnswerHead,
+    CallerRequest,
+    Prompt,
+    PromptPart,
+    RequestHead,
+)
+from mastickeel_router.routes import EngineTraits, ModelSize, Route, RouteKind, Split
+
+TRAITS = EngineTraits(
+    64, 500_000, {"small": ModelSize("small", 0.01), "large": ModelSize("large", 0.1)}
+)
+RECORDS = [EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1", slots=64)]
+
+
+def request(model: str = ANY_MODEL, tokens: int = 4_000) -> CallerRequest:
+    prompt = Prompt(model, tokens, 100, (PromptPart("own", tokens),))
+    head = RequestHead("POST", "/", HTTPHeaders())
+    return CallerRequest("a1", head, "h", "", None, prompt)
+
+
+class CascadeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loads = EndpointLoads(FakeClock(), random.Random(1), "dc-a")
+
+    def cascade(self, asked: CallerRequest, traits: EngineTraits | None = TRAITS) -> Cascade:
+        splits = (Split("s", 1),)
+        models = ("small", "large")
+        route = Route("r", "h", "/", RouteKind.STREAM, splits, 20_000, 3_000, models=models)
+        return Cascade(asked, route, traits=traits, loads=self.loads)
+
+    def larger(self, cascade: Cascade, confidence: int) -> int | None:
+        head = AnswerHead(200, HTTPHeaders(), "a1", confidence=confidence)
+        return cascade.larger(head, RECORDS, waited_ms=100, left_ms=15_000)
+
+    def test_caller_that_names_a_model_gets_it(self) -> None:
+        cascade = self.cascade(request("large"))
+        self.assertEqual(cascade.model, "large")
+        self.assertIsNone(self.larger(cascade, 0))
+
+    def test_smallest_first_and_the_largest_in_doubt(self) -> None:
+        cascade = self.cascade(request())
+        self.assertEqual(cascade.model, "small")
+        self.assertIsNone(self.larger(cascade, 90))
+        self.assertEqual(self.larger(cascade, 5), 1)
+
+    def test_prompt_that_the_largest_cannot_read_in_time_stays(self) -> None:
+        cascade = self.cascade(request(tokens=60_000))
+        self.assertIsNone(self.larger(cascade, 30))
+
+    def test_engines_backlog_keeps_the_answer(self) -> None:
+        cascade = self.cascade(request())
+        self.assertEqual(self.larger(cascade, 30), 1)
+        self.loads.note_work("e1", 6_000)
+        self.assertIsNone(self.larger(cascade, 30))
+
+    def test_work_follows_the_price_and_is_sane_without_one(self) -> None:
+        cascade = self.cascade(request())
+        self.assertEqual(cascade.demand.work, SMALLEST_WORK)
+        cascade.size = 1
+        self.assertEqual(cascade.demand.work, LARGEST_WORK)
+        self.assertEqual(self.cascade(request(), None).demand.work, 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
