--- a/tests/mastickeel_router/relay/test_cascade.py
+++ b/tests/mastickeel_router/relay/test_cascade.py
@@ -23,7 +23,7 @@
 from mastickeel_router.routes import EngineTraits, ModelSize, Route, RouteKind, Split
 
 TRAITS = EngineTraits(
-    64, 500_000, {"small": ModelSize("small", 0.005), "large": ModelSize("large", 0.1)}
+    64, 500_000, {"small": ModelSize("small", 0.0078125), "large": ModelSize("large", 0.125)}
 )
 RECORDS = [EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1", slots=64)]
 
