Bodies of open requests are bounded in sum

Cause: bodies of up to 4 MB are kept whole until their answer; a burst of them could take an instance over its memory, which ends the process. Change: beyond 48 MB in all a request is refused as not run, with a time to come back. Measured: its test.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -19,7 +19,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from mastickeel.errors import BodyTooLargeError, MastickeelError
+from mastickeel.errors import BodyTooLargeError, MastickeelError, UnavailableError
 from mastickeel.events import define
 from mastickeel.httpclient import limit_socket
 from mastickeel.logs import log
@@ -40,6 +40,11 @@
 HEADER_CEILING_FACTOR = 4
 """Headers are read up to this many times their limit, so that their sender gets the refusal."""
 
+HELD_LIMIT_BYTES = 48 * 1024 * 1024
+"""What the bodies of all open requests may take: a third of the smallest instance's memory."""
+CROWDED_RETRY_MS = 1_000
+"""When to come back to an instance that holds too many bodies: about one request's time."""
+
 SERVE_FAILED = define(
     2330, "serve_failed", "error", "A request met an error that is a fault of ours; report it."
 )
@@ -114,6 +119,8 @@
         """
         self.open_requests = 0
         """Requests that have been read at least in part and not been answered."""
+        self.held_bytes = 0
+        """What their bodies take."""
         self._serve = serve
         self._refuse = refuse
         self._limits = limits
@@ -194,6 +201,7 @@
         self._head: RequestHead | None = None
         self._parts: list[bytes] = []
         self._received = 0
+        self._held = 0
         self._refused = False
         self._closed = False
         self._task: asyncio.Task[None] | None = None
@@ -230,6 +238,12 @@
         if self._received > limit:
             self._refuse(BodyTooLargeError(f"At most {limit} bytes."))
             return
+        if self._listener.held_bytes + len(chunk) > HELD_LIMIT_BYTES:
+            detail = "The bodies of open requests fill this instance's memory."
+            self._refuse(UnavailableError(detail, retry_after_ms=CROWDED_RETRY_MS))
+            return
+        self._listener.held_bytes += len(chunk)
+        self._held += len(chunk)
         self._parts.append(chunk)
 
     def finish(self) -> None:
@@ -279,6 +293,9 @@
         if busy != self.busy:
             self.busy = busy
             self._listener.open_requests += 1 if busy else -1
+        if not busy:
+            self._listener.held_bytes -= self._held
+            self._held = 0
 
 
 def problem_body(error: MastickeelError) -> bytes:
--- a/tests/mastickeel_platform/test_bad_input.py
+++ b/tests/mastickeel_platform/test_bad_input.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
+from mastickeel_router.relay import listener
 from tests.mastickeel_platform.path import PathTest
 from tests.mastickeel_platform.standins import (
     Request,
@@ -84,6 +86,16 @@
         chunks = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
         await self.expect(head + chunks * 2, 413, "body_too_large")
 
+    async def test_bodies_beyond_the_memory_are_refused_and_freed(self) -> None:
+        with mock.patch.object(listener, "HELD_LIMIT_BYTES", 15_000):
+            await self.expect(request_bytes("/once/a", body=b"x" * 16_000), 503, "unavailable")
+            for number in range(3):
+                reply = await call(
+                    self.gateway.callers_port,
+                    request_bytes("/once/a", f"r{number}", body=b"x" * 9_000),
+                )
+                self.assertEqual(reply.status, 200)
+
     async def test_request_line_that_is_no_http(self) -> None:
         await self.expect_end(b"HELLO\r\n\r\n")
 
