A connection that does not come about leaves no socket behind

Cause: read as a reviewer: a connect that was given up kept its socket until the kernel's own time-out, two minutes later; a dark endpoint could use up an instance's descriptors. Change: the client opens its streams itself and closes them when the wait ends; sending is a function.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -21,8 +21,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
+from tornado.iostream import IOStream, StreamClosedError
 
 from mastickeel.errors import MastickeelError, Ran
 
@@ -30,8 +29,6 @@
     import ssl
     from collections.abc import Awaitable, Callable, Mapping
 
-    from tornado.iostream import IOStream
-
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
 
@@ -341,7 +338,6 @@
         """The clock that times the waits."""
         self.tls = tls
         """How TLS is spoken; None for plain TCP."""
-        self._tcp = TCPClient()
         self._idle_by_address: dict[Address, deque[HttpConnection]] = defaultdict(deque)
         self._watched: set[Watched] = set()
         self._sweeper: asyncio.Task[None] | None = None
@@ -367,8 +363,7 @@
             return pooled
         limit = (waits or Waits()).connect_ms
         try:
-            opening = self._tcp.connect(address.host, address.port, ssl_options=self.tls)
-            stream = await self.clock.wait_for(opening, limit)
+            stream = await self._open(address, limit)
         except (OSError, StreamClosedError, TimeoutError) as error:
             raise ConnectionFailedError(f"No connection to {address}: {error}.") from error
         if stream.closed():
@@ -376,6 +371,20 @@
         limit_socket(stream.socket)
         return HttpConnection(stream, address, self)
 
+    async def _open(self, address: Address, limit_ms: float) -> IOStream:
+        """Opens a stream; one that does not come about leaves no socket behind."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        try:
+            await self.clock.wait_for(stream.connect((address.host, address.port)), limit_ms)
+            if self.tls is None:
+                return stream
+            encrypting = stream.start_tls(False, self.tls, server_hostname=address.host)
+            return await self.clock.wait_for(encrypting, limit_ms)
+        except BaseException:
+            stream.close()
+            raise
+
     def release(self, connection: HttpConnection) -> None:
         """Gives a connection back after a whole exchange."""
         idle = self._idle_by_address[connection.address]
@@ -436,7 +445,6 @@
             for connection in idle:
                 connection.close()
         self._idle_by_address.clear()
-        self._tcp.close()
 
     def _take_idle(self, address: Address) -> HttpConnection | None:
         """Takes the youngest usable idle connection."""
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -28,7 +28,7 @@
     next_step,
     wants_repeat,
 )
-from mastickeel_router.relay.sending import AnswerCollector, Sender
+from mastickeel_router.relay.sending import AnswerCollector, send
 from mastickeel_router.relay.types import Progress, Send
 from mastickeel_router.routes import RouteKind
 
@@ -96,7 +96,6 @@
         self._caller = caller
         self._body = body
         self._responder = responder
-        self._sender = Sender(context.client, context.dialect, context.clock)
         self._progress = Progress(context.clock.now(), last_event=request.last_event)
         self._first_event_ms: int | None = None
         self._sent_ms = 0
@@ -212,8 +211,13 @@
         self._foreseen_ms = context.loads.foresee_ms([endpoint], demand, self._cascade.model)
         context.loads.begin(endpoint, demand, self._cascade.model)
         try:
-            result = await self._sender.send(
-                http_request, endpoint, answer, route=self._route, left_ms=self._left_ms
+            result = await send(
+                context.client,
+                http_request,
+                endpoint,
+                answer,
+                route=self._route,
+                left_ms=self._left_ms,
             )
         finally:
             context.loads.end(endpoint.id)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from mastickeel.clock import Clock
     from mastickeel.httpclient import HttpClient, HttpHead, HttpRequest
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.listener import Responder
@@ -62,61 +61,47 @@
     title = "The answer was given up for one of a larger model."
 
 
-class Sender:
-    """Sends requests to endpoints over the shared connections."""
-
-    def __init__(self, client: HttpClient, dialect: Dialect, clock: Clock) -> None:
-        """Makes the sender.
-
-        Args:
-            client: Sends the requests.
-            dialect: Reads the answers' heads.
-            clock: Times the first events.
-        """
-        self._client = client
-        self._dialect = dialect
-        self._clock = clock
-
-    async def send(
-        self,
-        http_request: HttpRequest,
-        endpoint: EndpointRecord,
-        answer: AnswerCollector,
-        *,
-        route: Route,
-        left_ms: float,
-    ) -> SendResult:
-        """Sends one request and collects or passes on its answer.
-
-        Args:
-            http_request: As it goes out.
-            endpoint: Where to.
-            answer: Takes the answer.
-            route: The request's route.
-            left_ms: What is left of the caller's time.
-
-        Returns:
-            How the send ended; errors of the exchange are a part of that.
-        """
-        waits = _waits(route, left_ms)
-        try:
-            # A kept connection may be dead, silent or hold an answer to somebody else; a new one
-            # costs the endpoint a millisecond.
-            connection = await self._client.connect(endpoint.address, waits=waits, fresh=True)
-        except ConnectionFailedError as error:
-            return SendResult(SendEnd.UNREACHED, reason=f"{error.code}: {error.detail}")
-        answer.begin()
-        try:
-            await connection.exchange(
-                http_request, on_head=answer.on_head, on_data=answer.on_data, waits=waits
-            )
-        except DroppedError as error:
-            return SendResult(SendEnd.DROPPED, answer.head, reason=error.code)
-        except (ExchangeBrokenError, StreamGapError, TooLargeAnswerError) as error:
-            return SendResult(SendEnd.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
-        finally:
-            connection.close()
-        return await answer.finish()
+async def send(
+    client: HttpClient,
+    http_request: HttpRequest,
+    endpoint: EndpointRecord,
+    answer: AnswerCollector,
+    *,
+    route: Route,
+    left_ms: float,
+) -> SendResult:
+    """Sends one request and collects or passes on its answer.
+
+    Args:
+        client: Makes the connection.
+        http_request: As it goes out.
+        endpoint: Where to.
+        answer: Takes the answer.
+        route: The request's route.
+        left_ms: What is left of the caller's time.
+
+    Returns:
+        How the send ended; errors of the exchange are a part of that.
+    """
+    waits = _waits(route, left_ms)
+    try:
+        # A kept connection may be dead, silent or hold an answer to somebody else; a new one
+        # costs the endpoint a millisecond.
+        connection = await client.connect(endpoint.address, waits=waits, fresh=True)
+    except ConnectionFailedError as error:
+        return SendResult(SendEnd.UNREACHED, reason=f"{error.code}: {error.detail}")
+    answer.begin()
+    try:
+        await connection.exchange(
+            http_request, on_head=answer.on_head, on_data=answer.on_data, waits=waits
+        )
+    except DroppedError as error:
+        return SendResult(SendEnd.DROPPED, answer.head, reason=error.code)
+    except (ExchangeBrokenError, StreamGapError, TooLargeAnswerError) as error:
+        return SendResult(SendEnd.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
+    finally:
+        connection.close()
+    return await answer.finish()
 
 
 def _waits(route: Route, left_ms: float) -> Waits:
