Releases: sessions stay in the first half wherever they land, and clocks hurry nothing

A session whose earlier request another instance had served could move to the target before half of the release; a holder whose calendar clock stepped ahead would have hurried the stages; two errors of the store were passed over without a line. Change: no session moves before 0.55 of the release unless it is known here; the calendar counts only for a process that began after the order; both errors are logged.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -21,11 +21,15 @@
 """An instance that has ended is told of nothing for longer than this: what it misses are hints."""
 RENEW_INTERVAL_MS = 4_000
 """Two renewals may be lost before the entry lapses."""
-RETRY_INTERVAL_MS = 500
+RETRY_INTERVAL_MS = 1_000
+"""Between tries while the store does not answer: what peers tell are hints, nothing waits."""
 
 PEER_FOUND = define(2370, "peer_found", "info", "Another instance registered itself.")
 PEER_GONE = define(2371, "peer_gone", "info", "Another instance's entry is gone.")
 REGISTERED = define(2372, "registered", "info", "This instance has an entry in the store.")
+NOT_REGISTERED = define(
+    2373, "not_registered", "warning", "This instance's entry could not be kept; it is tried again."
+)
 
 
 class Instances:
@@ -63,8 +67,8 @@
                 lease = await self._register()
                 while await self._store.keep_alive(lease):
                     await self._clock.sleep(RENEW_INTERVAL_MS)
-            except StoreError:
-                # Logged by whoever follows the store; the entry is written anew once it answers.
+            except StoreError as error:
+                log(NOT_REGISTERED, error=str(error))
                 await self._clock.sleep(RETRY_INTERVAL_MS)
 
     def entry_reader(self) -> Reader:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -43,11 +43,19 @@
 REPORT_INTERVAL_MS = 700
 """How often an instance tells what it has seen, if that has changed."""
 HASH_SPAN = float(1 << 64)
+SESSIONS_FROM = 0.55
+"""The part of a release before which no session moves to the target: a little over its half."""
 SESSIONS_KEPT = 4_096
 
 ORDER_TAKEN = define(2360, "release_ordered", "info", "The operator ordered a release.")
 PLAN_TAKEN = define(2361, "release_plan", "info", "A release's share or state has changed.")
 PLAN_WRITTEN = define(2362, "release_plan_written", "info", "The duty's holder wrote a plan.")
+ROUND_FAILED = define(
+    2364,
+    "release_round_failed",
+    "warning",
+    "A release's step did not reach the store; tried again.",
+)
 PLAN_UNREADABLE = define(
     2363, "release_plan_unreadable", "warning", "A release's plan cannot be read; it is ignored."
 )
@@ -85,6 +93,7 @@
         self._session_gap_ms = session_gap_ms
         self._orders_by_service: dict[str, ReleaseOrder] = {}
         self._seen_ms_by_service: dict[str, int] = {}
+        self._witnessed: set[str] = set()
         self._plans_by_service: dict[str, ReleasePlan] = {}
         self._counts_by_service: dict[str, dict[str, Block]] = {}
         self._reported_by_service: dict[str, dict[str, Block]] = {}
@@ -115,6 +124,8 @@
             return
         self._orders_by_service[order.service] = order
         self._seen_ms_by_service[order.service] = self._clock.now()
+        if self._plans_read:
+            self._witnessed.add(order.service)
         self._counts_by_service[order.service] = {}
         log(
             ORDER_TAKEN,
@@ -226,9 +237,22 @@
         known = self._sessions.get(request.session) if request.session else None
         if known is not None and self._clock.now() - known[1] < self._session_gap_ms:
             return known[0] == order.target
+        if request.session and self._seen_for_ms(order) < SESSIONS_FROM * order.duration_ms:
+            # Another instance may have served the session on the old version a moment ago.
+            return False
         name = f"{request.session or request.id}\0{order.target}"
         return xxhash.xxh3_64_intdigest(name.encode()) / HASH_SPAN < share
 
+    def _seen_for_ms(self, order: ReleaseOrder) -> int:
+        return self._clock.now() - self._seen_ms_by_service[order.service]
+
+    def _elapsed_ms(self, order: ReleaseOrder, began_wall_ms: int) -> int:
+        """Returns the time since the order; by the calendar only if it came before this process."""
+        seen_for_ms = self._seen_for_ms(order)
+        if order.service in self._witnessed:
+            return seen_for_ms
+        return max(seen_for_ms, self._clock.wall() - began_wall_ms)
+
     def _remember(self, session: str, version: str) -> None:
         self._sessions.pop(session, None)
         self._sessions[session] = (version, self._clock.now())
@@ -281,9 +305,9 @@
                 verdict = verdicts_by_revision.setdefault(order.revision, Verdict())
                 try:
                     await self._lead_one(order, verdict)
-                except StoreError:
+                except StoreError as error:
                     # Read and written anew in the next round.
-                    continue
+                    log(ROUND_FAILED, service=service, error=str(error))
             await self._clock.sleep(LEAD_INTERVAL_MS)
 
     async def _lead_one(self, order: ReleaseOrder, verdict: Verdict) -> None:
@@ -291,13 +315,11 @@
         key = f"{self.plans_prefix}{order.service}"
         plan = self._plan(order.service) or await self._read_plan(key, order)
         verdict.take(self._add_up(order))
-        wall_ms = self._clock.wall()
-        seen_for_ms = self._clock.now() - self._seen_ms_by_service[order.service]
-        began_wall_ms = plan.began_wall_ms or wall_ms - seen_for_ms
+        began_wall_ms = plan.began_wall_ms or self._clock.wall() - self._seen_for_ms(order)
         wanted = advance(
             replace(plan, began_wall_ms=began_wall_ms),
             order,
-            elapsed_ms=max(seen_for_ms, wall_ms - began_wall_ms),
+            elapsed_ms=self._elapsed_ms(order, began_wall_ms),
             answers=verdict.answers,
             is_bad=verdict.is_bad,
         )
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -142,6 +142,20 @@
         await self.play(2_000)
         self.assertEqual([one.chosen("b", session) for session in sessions], before)
 
+    async def test_session_seen_elsewhere_does_not_move_in_the_first_half(self) -> None:
+        self.order()
+        await self.play(DURATION_MS // 2)
+        versions = {self.instances[0].chosen("a", f"new-{number}") for number in range(100)}
+        self.assertEqual(versions, {"v1"})
+
+    async def test_clock_that_steps_ahead_hurries_nothing(self) -> None:
+        await self.clock.settle()
+        self.order()
+        await self.play(2_000)
+        self.clock._wall += 3_600_000
+        await self.play(2_000)
+        self.assertEqual(await self.state(), "running")
+
     async def test_good_release_completes_in_time(self) -> None:
         self.order()
         await self.play(DURATION_MS - 500)
