A stop does not wait for a silent store

Change: the duty is handed on beside the rest. Measured: the test fails on the code before (time-out) and passes now.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -161,7 +161,8 @@
         self.leaving = True
         log(events.STOPPING, open_requests=self._listener.open_requests)
         self._listener.end_reuse()
-        await self.releases.release_duty()
+        # Beside the rest: a store that does not answer must not take up the grace.
+        self._tasks.start(self.releases.release_duty())
         await self.clock.sleep(min(stop.leave_ms, until_ms - self.clock.now()))
         self._listener.stop()
         quiet_since_ms = self.clock.now()
--- a/tests/mastickeel_platform/test_gateway.py
+++ b/tests/mastickeel_platform/test_gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from tests.mastickeel_platform.path import PathTest
 from tests.mastickeel_platform.standins import (
@@ -127,6 +128,12 @@
         self.assertEqual(reply.body, b"late")
         await draining
 
+    async def test_stop_does_not_wait_for_a_silent_store(self) -> None:
+        await self.begin(respond)
+        with mock.patch.object(self.gateway.releases, "release_duty", asyncio.Event().wait):
+            await asyncio.wait_for(self.gateway.drain(), 5)
+        self.assertFalse(self.gateway.ready)
+
     async def test_connection_of_an_open_request_takes_no_other_during_a_stop(self) -> None:
         go = asyncio.Event()
 
