Instances tell each other which version sessions ran on

Change: each run of a session is told to the peers; in the first half a known session stays where it is, a new one goes by hash, and one on the target stays there also after a failure.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -1,4 +1,4 @@
-"""What instances tell each other: the work that they send to engines, and what releases showed.
+"""What instances tell each other: work sent to engines, evidence of releases, sessions.
 
 Lost or late messages cost a worse choice or a later verdict, never a wrong answer.
 """
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from mastickeel.peers import PeerLink
     from mastickeel_router.placement import EndpointLoads
-    from mastickeel_router.releases import Releases
+    from mastickeel_router.releases import Releases, SessionVersions
 
 LEAST_WORK_MS = 20.0
 """Less work than this is not told: it is over before the message has been read."""
@@ -76,3 +76,35 @@
 
     async def _take(self, sender: str, evidence: Evidence) -> None:
         self._releases.take_evidence(sender, evidence)
+
+
+@message("session_ran")
+@dataclass(frozen=True)
+class SessionRan:
+    """A request of a session has run on a version."""
+
+    session: str
+    version: str
+
+
+class SessionSharing:
+    """Tells the peers which version sessions ran on, as their next requests may come to any."""
+
+    def __init__(self, link: PeerLink, sessions: SessionVersions) -> None:
+        """Makes it, and listens on the link.
+
+        Args:
+            link: The way to the peers.
+            sessions: Keeps what is told.
+        """
+        self._link = link
+        self._sessions = sessions
+        sessions.on_run.append(self._tell)
+        link.on(SessionRan, self._take)
+
+    def _tell(self, session: str, version: str) -> None:
+        for peer_id in self._link.peer_ids:
+            self._link.tell(peer_id, SessionRan(session, version))
+
+    async def _take(self, sender: str, ran: SessionRan) -> None:
+        self._sessions.take(ran.session, ran.version)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -15,7 +15,7 @@
 from mastickeel.tasks import TaskGroup
 from mastickeel_router.discovery import EndpointRegistry, follow
 from mastickeel_router.discovery.feeds import Reader, fan_out
-from mastickeel_router.fleet import EvidenceSharing, Instances, LoadSharing
+from mastickeel_router.fleet import EvidenceSharing, Instances, LoadSharing, SessionSharing
 from mastickeel_router.gateway.figures import PATH as FIGURES_PATH
 from mastickeel_router.gateway.figures import Figures
 from mastickeel_router.gateway.pages import Page, PageListener
@@ -153,6 +153,7 @@
         """Takes changed settings; listeners and the store's address stay until a restart."""
         self.settings = settings
         self.budget.limits = settings.repeats
+        self.releases.sessions.gap_ms = settings.sessions.gap_ms
 
     async def drain(self) -> None:
         """Takes no new connections, and waits for the open requests while there is time."""
@@ -194,6 +195,7 @@
         link = PeerLink(settings.instance.id, clock=self.clock, metrics=Metrics())
         LoadSharing(link, self.loads)
         EvidenceSharing(link, self.releases)
+        SessionSharing(link, self.releases.sessions)
         instances = Instances(
             self._deployment.store,
             link,
@@ -214,6 +216,7 @@
             loads=self.loads,
             budget=self.budget,
             select=self.releases.select,
+            sessions=self.releases.sessions,
             observe=self._observe,
             finish=self.figures.note_request,
         )
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -18,6 +18,7 @@
     from mastickeel_router.relay.budget import RepeatBudget
     from mastickeel_router.relay.policy import SendResult
     from mastickeel_router.relay.types import CallerRequest, Dialect
+    from mastickeel_router.releases.sessions import SessionVersions
     from mastickeel_router.routes import Route, RouteTable
 
 REQUEST_SERVED = define(2340, "request_served", "info", "A request got an endpoint's answer.")
@@ -72,6 +73,8 @@
     budget: RepeatBudget
     select: Select
     """Keeps the endpoints whose version the request may run on."""
+    sessions: SessionVersions
+    """Which version each session ran on last."""
     observe: Callable[[Observed], None]
     """Told of each send."""
     finish: Callable[[Finished], None]
@@ -87,6 +90,7 @@
         request: CallerRequest,
         records: Sequence[EndpointRecord],
         *,
+        pin: str = "",
         failed: bool = False,
     ) -> Sequence[EndpointRecord]:
         """Returns those of the records that may be sent the request."""
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -106,6 +106,7 @@
         if request.deadline_ms is not None:
             limit = min(limit, request.deadline_ms - ANSWER_MARGIN_MS)
         self._until_ms = self._progress.started_ms + limit
+        self._pin = context.sessions.version_of(request.session)
         self._service = _pick_service(route, context.draw)
         self._cascade = Cascade(request, route, traits=self._engine_traits(), loads=context.loads)
 
@@ -187,7 +188,9 @@
         """Returns the endpoints that the next send may go to."""
         known = self._context.registry.usable(self._service)
         failed = self._progress.failures > 0
-        return self._context.select(self._service, self._request, known, failed=failed)
+        return self._context.select(
+            self._service, self._request, known, pin=self._pin, failed=failed
+        )
 
     async def _send(self, endpoint: EndpointRecord) -> SendResult:
         """Sends the request to one endpoint and notes what that showed."""
@@ -228,6 +231,8 @@
             progress.unreached += 1
         if result.end in (SendEnd.NOT_RUN, SendEnd.UNREACHED):
             progress.may_have_run = ran_before
+        else:
+            context.sessions.note(self._request.session, endpoint.version)
         self._note(endpoint, result, began_ms)
         return result
 
@@ -344,6 +349,7 @@
             route=self._route.name,
             service=self._service,
             account=self._caller.name if self._caller else "",
+            session=self._request.session,
             model=self._cascade.model,
             confidence=self._cascade.confidence,
             sends=progress.sends,
--- a/packages/mastickeel_router/src/mastickeel_router/releases/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/__init__.py
@@ -2,5 +2,6 @@
 
 from mastickeel_router.releases.model import Evidence, ReleaseOrder, ReleasePlan, ReleaseState
 from mastickeel_router.releases.service import Releases
+from mastickeel_router.releases.sessions import SessionVersions
 
-__all__ = ["Evidence", "ReleaseOrder", "ReleasePlan", "ReleaseState", "Releases"]
+__all__ = ["Evidence", "ReleaseOrder", "ReleasePlan", "ReleaseState", "Releases", "SessionVersions"]
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -23,6 +23,7 @@
     ReleaseState,
 )
 from mastickeel_router.releases.quality import Paces
+from mastickeel_router.releases.sessions import SessionVersions
 from mastickeel_router.sequential import Block
 
 if TYPE_CHECKING:
@@ -45,7 +46,6 @@
 HASH_SPAN = float(1 << 64)
 SESSIONS_FROM = 0.55
 """The part of a release before which no session moves to the target: a little over its half."""
-SESSIONS_KEPT = 4_096
 
 ORDER_TAKEN = define(2360, "release_ordered", "info", "The operator ordered a release.")
 PLAN_TAKEN = define(2361, "release_plan", "info", "A release's share or state has changed.")
@@ -90,7 +90,6 @@
         self.on_report: list[Callable[[Evidence], None]] = []
         """Told of what this instance has seen, for its peers."""
         self._clock = clock
-        self._session_gap_ms = session_gap_ms
         self._orders_by_service: dict[str, ReleaseOrder] = {}
         self._seen_ms_by_service: dict[str, int] = {}
         self._witnessed: set[str] = set()
@@ -98,7 +97,8 @@
         self._counts_by_service: dict[str, dict[str, Block]] = {}
         self._reported_by_service: dict[str, dict[str, Block]] = {}
         self._evidence_by_instance: dict[tuple[str, str], Evidence] = {}
-        self._sessions: dict[str, tuple[str, int]] = {}
+        self.sessions = SessionVersions(clock, session_gap_ms)
+        """Which version each session ran on last."""
         self._paces = Paces()
         self._plans_read = False
         self._leaving = False
@@ -152,14 +152,16 @@
         request: CallerRequest,
         records: Sequence[EndpointRecord],
         *,
+        pin: str = "",
         failed: bool = False,
     ) -> Sequence[EndpointRecord]:
         """Keeps the endpoints whose version a request may run on.
 
         Args:
             service: Where it goes.
-            request: The request; requests of one session stay on one version.
+            request: The request.
             records: The service's endpoints.
+            pin: The version that the request's session ran on before; empty for none.
             failed: Whether a send of the request has failed: then it stays off the version on
                 trial.
         """
@@ -176,11 +178,8 @@
             return target or old
         if share <= 0.0:
             return old
-        wants_target = not failed and self._version_is_target(request, order, share)
-        chosen = target if wants_target and target else old
-        if request.session and chosen:
-            self._remember(request.session, chosen[0].version)
-        return chosen
+        wants_target = self._wants_target(request, order, share, pin, failed)
+        return target if wants_target and target else old
 
     def observe(self, seen: Observed) -> None:
         """Counts an answer for or against its version."""
@@ -232,13 +231,15 @@
                 running.append(service)
         return running
 
-    def _version_is_target(self, request: CallerRequest, order: ReleaseOrder, share: float) -> bool:
+    def _wants_target(
+        self, request: CallerRequest, order: ReleaseOrder, share: float, pin: str, failed: bool
+    ) -> bool:
         """Says whether a request goes to the target, the same on every instance."""
-        known = self._sessions.get(request.session) if request.session else None
-        if known is not None and self._clock.now() - known[1] < self._session_gap_ms:
-            return known[0] == order.target
-        if request.session and self._seen_for_ms(order) < SESSIONS_FROM * order.duration_ms:
-            # Another instance may have served the session on the old version a moment ago.
+        if pin == order.target:
+            return True
+        if pin and self._seen_for_ms(order) < SESSIONS_FROM * order.duration_ms:
+            return False
+        if failed:
             return False
         name = f"{request.session or request.id}\0{order.target}"
         return xxhash.xxh3_64_intdigest(name.encode()) / HASH_SPAN < share
@@ -253,12 +254,6 @@
             return seen_for_ms
         return max(seen_for_ms, self._clock.wall() - began_wall_ms)
 
-    def _remember(self, session: str, version: str) -> None:
-        self._sessions.pop(session, None)
-        self._sessions[session] = (version, self._clock.now())
-        while len(self._sessions) > SESSIONS_KEPT:
-            del self._sessions[next(iter(self._sessions))]
-
     def _take_plans(self, items: tuple[KeyValue, ...], revision: int) -> None:
         self._plans_read = True
         for item in items:
