What endpoints and routes leave behind is bounded

Cause: read as a reviewer: counts of endpoints that have gone and paces of routes that were removed stayed for the life of the process. Change: a count of zero is dropped; paces are kept of 1,024 routes and models.

--- a/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
+++ b/packages/mastickeel_router/src/mastickeel_router/placement/loads.py
@@ -74,6 +74,9 @@
     def end(self, endpoint_id: str) -> None:
         """Notes that a request has ended there."""
         self._running_by_id[endpoint_id] -= 1
+        if not self._running_by_id[endpoint_id]:
+            # Endpoints come and go for as long as the process lives.
+            del self._running_by_id[endpoint_id]
 
     def forget(self, endpoint_id: str) -> None:
         """Forgets what an endpoint held: its lifetime has ended."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/quality.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/quality.py
@@ -14,6 +14,8 @@
 SLOW_FACTOR = 3.5
 """How many times the usual pace is slow; load alone slows engines by under twice."""
 SAMPLES_KEPT = 64
+ROUTES_KEPT = 1_024
+"""Routes and models whose pace is remembered; configurations bring new routes all the time."""
 SAMPLES_NEEDED = 8
 """The fewest samples that tell what is usual."""
 
@@ -44,3 +46,5 @@
             (seen.route.name, seen.model), deque(maxlen=SAMPLES_KEPT)
         )
         samples.append(seen.pace_ms)
+        while len(self._samples) > ROUTES_KEPT:
+            del self._samples[next(iter(self._samples))]
--- a/tests/mastickeel_router/placement/test_placement.py
+++ b/tests/mastickeel_router/placement/test_placement.py
@@ -77,6 +77,16 @@
         loads.breakers.note_failure("e2", unreachable=True)
         self.assertIsNotNone(loads.choose(records, Demand(), ""))
 
+    def test_endpoints_that_come_and_go_leave_nothing_behind(self) -> None:
+        loads = self.loads(1)
+        for number in range(20):
+            one = record(f"e{number}")
+            loads.begin(one, LONG, "m")
+            loads.end(one.id)
+            loads.forget(one.id)
+        self.assertEqual(len(loads._running_by_id), 0)
+        self.assertEqual(len(loads._parts_by_id), 0)
+
     def test_no_endpoint(self) -> None:
         self.assertIsNone(self.loads(1).choose([], LONG, "m"))
 
--- a/tests/mastickeel_router/releases/test_quality.py
+++ b/tests/mastickeel_router/releases/test_quality.py
@@ -11,7 +11,7 @@
 from mastickeel_router.relay.context import Observed
 from mastickeel_router.relay.policy import SendEnd, SendResult
 from mastickeel_router.relay.types import AnswerHead
-from mastickeel_router.releases.quality import SAMPLES_NEEDED, SLOW_FACTOR, Paces
+from mastickeel_router.releases.quality import ROUTES_KEPT, SAMPLES_NEEDED, SLOW_FACTOR, Paces
 from mastickeel_router.routes import Route, RouteKind, Split
 
 ENDPOINT = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1")
@@ -45,6 +45,11 @@
         self.assertFalse(self.paces.is_bad(seen(pace=80.0)))
         self.assertFalse(self.paces.is_bad(seen(pace=None)))
 
+    def test_routes_that_come_and_go_take_bounded_memory(self) -> None:
+        for number in range(ROUTES_KEPT + 50):
+            self.paces.learn(seen(model=f"m{number}"))
+        self.assertEqual(len(self.paces._samples), ROUTES_KEPT)
+
     def test_each_model_has_its_own_pace(self) -> None:
         self.learn(pace=4.0, model="small")
         self.learn(pace=40.0, model="large")
