--- a/packages/mastickeel/src/mastickeel/settings.py
+++ b/packages/mastickeel/src/mastickeel/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,6 +19,8 @@
 SECRET_PREFIXES = ("env:", "file:")
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 SHA256_HEX_DIGITS = 64
+MILLISECONDS_BY_UNIT = {"ms": 1, "s": 1_000, "min": 60_000}
+_DURATION = re.compile(r"(\d+(?:\.\d+)?) ?(ms|s|min)")
 
 T = TypeVar("T")
 
@@ -225,6 +228,8 @@
 def structure(text: str, settings_type: type[T]) -> T:
     """Converts TOML to a settings class, checking the types of its fields but not their ranges.
 
+    Keys that end with ``_ms`` hold whole milliseconds, or a text with a unit such as ``"8.5 s"``.
+
     Args:
         text: The TOML document.
         settings_type: A frozen dataclass.
@@ -240,12 +245,24 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"not TOML: {error}; correct the line"]) from error
     try:
-        return _CONVERTER.structure(document, settings_type)
+        return _CONVERTER.structure(_convert_durations(document), settings_type)
     except Exception as error:
         faults = transform_error(error, path="settings", format_exception=_describe_fault)
         raise SettingsError(faults) from error
 
 
+def _convert_durations(value: Any, key: str = "") -> Any:
+    """Returns a TOML value with the durations in its ``_ms`` keys converted to milliseconds."""
+    if isinstance(value, dict):
+        return {name: _convert_durations(inner, name) for name, inner in value.items()}
+    if isinstance(value, list):
+        return [_convert_durations(inner) for inner in value]
+    if isinstance(value, str) and key.endswith("_ms"):
+        match = _DURATION.fullmatch(value)
+        return round(float(match[1]) * MILLISECONDS_BY_UNIT[match[2]]) if match else value
+    return value
+
+
 def _describe_fault(error: BaseException, kind: type | None) -> str:
     """Returns the text of a fault of one key, with its remedy."""
     if isinstance(error, KeyError):
--- a/tests/mastickeel/test_settings.py
+++ b/tests/mastickeel/test_settings.py
@@ -53,6 +53,15 @@
         self.assertIn("callers.body_limit_bytes is 0", faults)
         self.assertIn("token_sha256", faults)
 
+    def test_durations_may_have_a_unit(self) -> None:
+        for text, expected_ms in (("1500", 1_500), ('"1.5 s"', 1_500), ('"2min"', 120_000)):
+            settings = parse(GOOD.replace("leave_ms = 0", f"leave_ms = {text}"))
+            self.assertEqual(settings.shutdown.leave_ms, expected_ms)
+        for text in ('"1.5"', '"1.5 hours"', '"-1 s"', "1.5"):
+            faults = faults_of(GOOD.replace("leave_ms = 0", f"leave_ms = {text}"))
+            self.assertEqual(len(faults), 1, faults)
+            self.assertIn("leave_ms", faults[0])
+
     def test_pool_without_endpoint_checks_is_refused(self) -> None:
         text = GOOD.replace("checks_fencing = true\n", "")
         self.assertIn("'checks_fencing' is missing; add it", "\n".join(faults_of(text)))
