--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -59,6 +60,15 @@
 """Time without open requests after which a drain ends; the last accepted connection may still bring
 its first request."""
 
+PEER_COUNTERS = {
+    "sent": "Messages sent to other instances",
+    "sent_bytes": "Bytes of messages sent to other instances",
+    "received": "Messages received from other instances",
+    "received_bytes": "Bytes of messages received from other instances",
+    "dropped": "Messages to other instances that were dropped",
+}
+"""Counters of the peer link that are shown as gauges, with their descriptions."""
+
 VALUE_IGNORED = define_event(
     2350,
     "value_ignored",
@@ -131,6 +141,7 @@
             session_gap_ms=settings.sessions.gap_ms,
         )
         """Releases under way; decide on which versions a request may run."""
+        self._peer_metrics = Metrics()
         self._link, self._instances = self._make_fleet()
         self.registry.on_lifetime_end.append(self.loads.reset_endpoint)
         self.table.on_change.append(
@@ -242,7 +253,7 @@
         settings = self.settings
         if settings.peers is None:
             return None, None
-        link = PeerLink(settings.instance.id, clock=self.clock, metrics=Metrics())
+        link = PeerLink(settings.instance.id, clock=self.clock, metrics=self._peer_metrics)
         share_loads(
             link, self.loads, lambda endpoint_id: self.registry.get(endpoint_id) is not None
         )
@@ -304,6 +315,12 @@
         metrics.add_gauge(
             "store_silent_seconds", "Since the store last answered", self._store_silence_s
         )
+        metrics.add_gauge("processor_seconds", "Processor time since the start", time.process_time)
+        peer_totals = self._peer_metrics.totals_by_name
+        for name, description in PEER_COUNTERS.items():
+            metrics.add_gauge(
+                f"peer_{name}", description, lambda name=name: peer_totals[f"peers.{name}"]
+            )
 
     def _store_silence_s(self) -> float:
         """Returns the time since the store's last answer, in seconds; infinite before the first."""
