Test: messages between instances do not grow with the fleet

Fails on this code: each notice of a session or of work sent to an engine goes to every peer in a message of its own.

--- a/tests/mastickeel_platform/test_fleet.py
+++ b/tests/mastickeel_platform/test_fleet.py
@@ -25,6 +25,7 @@
 """
 CONTENT = 7
 GATEWAY_COUNT = 3
+NOTICE_COUNT = 10
 
 
 async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
@@ -99,6 +100,24 @@
         for gateway in others:
             self.assertNotIn("i-gone", gateway.loads._caches_by_id)
 
+    async def test_messages_of_a_request_do_not_grow_with_the_fleet(self) -> None:
+        totals = [gateway._peer_metrics.totals_by_name for gateway in self.gateways]
+        sent_before = [total["peers.sent"] for total in totals]
+        for number, gateway in enumerate(self.gateways):
+            for notice in range(NOTICE_COUNT):
+                gateway.releases.sessions.record_run(f"session-{number}-{notice}", "v1")
+        last = f"-{NOTICE_COUNT - 1}"
+        for gateway in self.gateways:
+            await self.wait_until(
+                lambda gateway=gateway: all(
+                    gateway.releases.sessions.version_of(f"session-{number}{last}")
+                    for number in range(GATEWAY_COUNT)
+                )
+            )
+        sent = [total["peers.sent"] - n for total, n in zip(totals, sent_before, strict=True)]
+        # One gateway relays the notices of all; the others send each notice once at most.
+        self.assertLessEqual(sum(count > NOTICE_COUNT for count in sent), 1, sent)
+
     async def test_release_evidence_is_shared(self) -> None:
         first, *others = self.gateways
         evidence = EvidenceReport("s", 7, {"r": Block()})
