Broadcast notices in batches through one relay in each data centre

Callers saw on a grown installation, once it started: instances without processor time to answer. Cause: each notice (work sent to an engine, a session's version, evidence, a crash) went to every other instance in a message of its own, so that a request cost 57 sends and 57 receives for each of its notices. The class of fault is work for each request that grows with the fleet. Change: an instance hands its waiting notices to the relay of its data centre in one batch; that relay passes them on to its data centre and to the relays of the others. An instance's entry in the store names its data centre; instances of an older build, whose entries do not, still get single notices.

--- a/packages/mastickeel/src/mastickeel/peers.py
+++ b/packages/mastickeel/src/mastickeel/peers.py
@@ -21,9 +21,10 @@
 from mastickeel.errors import ExecutionStatus, MastickeelError
 from mastickeel.events import define_event
 from mastickeel.logs import log
+from mastickeel.peermessages import decode_content, encode_content, message, types_by_kind
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
@@ -56,10 +57,6 @@
 M = TypeVar("M")
 R = TypeVar("R")
 
-types_by_kind: dict[str, type[Any]] = {}
-"""All registered message types, by kind: the name on the wire."""
-_kinds_by_type: dict[type[Any], str] = {}
-
 
 class PeerTimeoutError(MastickeelError):
     """Raised when a peer did not reply in time; the peer may have acted on the request."""
@@ -103,26 +100,6 @@
     detail: str
 
 
-def message(kind: str) -> Callable[[type[M]], type[M]]:
-    """Registers a frozen dataclass as a message.
-
-    Args:
-        kind: The name of the message on the wire, which never changes.
-
-    Returns:
-        The class decorator.
-    """
-
-    def register(cls: type[M]) -> type[M]:
-        if kind in types_by_kind:
-            raise ValueError(f"message kind {kind!r} is registered twice; take another name")
-        types_by_kind[kind] = cls
-        _kinds_by_type[cls] = kind
-        return cls
-
-    return register
-
-
 message("failure")(Failure)
 
 
@@ -234,7 +211,18 @@
             peer_id: A connected peer; a message to any other peer is counted as dropped.
             content: A registered message.
         """
-        self._send_to(peer_id, content, 0)
+        self.multicast((peer_id,), content)
+
+    def multicast(self, peer_ids: Iterable[str], content: Any) -> None:
+        """Sends a one-way message to several peers without waiting; it may be lost.
+
+        Args:
+            peer_ids: Connected peers; a message to any other peer is counted as dropped.
+            content: A registered message.
+        """
+        data = self._pack(content, 0, 0)
+        for peer_id in peer_ids:
+            self._send_to(peer_id, data, 0)
 
     async def request(
         self, peer_id: str, content: Any, reply_type: type[R], timeout_ms: float = REPLY_TIMEOUT_MS
@@ -259,7 +247,7 @@
         reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._replies_by_id[sent_id] = reply
         try:
-            self._send_to(peer_id, content, sent_id)
+            self._send_to(peer_id, self._pack(content, sent_id, 0), sent_id)
             result = await self._clock.wait_for(reply, timeout_ms)
         except TimeoutError as error:
             raise PeerTimeoutError(f"{peer_id} did not answer {type(content).__name__}.") from error
@@ -293,8 +281,8 @@
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
 
-    def _send_to(self, peer_id: str, content: Any, sent_id: int) -> None:
-        """Queues a message for a peer; drops the message when the peer has no address."""
+    def _send_to(self, peer_id: str, data: bytes, sent_id: int) -> None:
+        """Queues an encoded message for a peer; drops the message when the peer has no address."""
         if peer_id not in self._addresses_by_peer or not self.allow(self.instance_id, peer_id):
             self._metrics.count("peers.dropped")
             return
@@ -303,7 +291,7 @@
         dealer.last_used_ms = now
         if sent_id and dealer.waiting_since_ms is None:
             dealer.waiting_since_ms = now
-        self._send(dealer.socket, [self._pack(content, sent_id, 0)])
+        self._send(dealer.socket, [data])
 
     def _dealer(self, peer_id: str) -> _Dealer:
         """Returns the connection to a peer, and opens one if there is none.
@@ -352,8 +340,7 @@
 
     def _pack(self, content: Any, sent_id: int, reply_to: int) -> bytes:
         """Encodes a message in its envelope."""
-        kind = _kinds_by_type[type(content)]
-        body = msgspec.Raw(msgspec.msgpack.encode(content))
+        kind, body = encode_content(content)
         envelope = Envelope(PROTOCOL_VERSION, kind, self.instance_id, sent_id, reply_to, body)
         return msgspec.msgpack.encode(envelope)
 
@@ -377,12 +364,11 @@
         """Passes a received message to the request that awaits it or to its handler."""
         try:
             envelope = msgspec.msgpack.decode(data, type=Envelope)
-            message_type = types_by_kind.get(envelope.kind)
-            if message_type is None or envelope.version != PROTOCOL_VERSION:
+            if envelope.kind not in types_by_kind or envelope.version != PROTOCOL_VERSION:
                 self._metrics.count("peers.skipped")
                 log(PEER_MESSAGE_SKIPPED, sender=envelope.sender, kind=envelope.kind)
                 return
-            content = msgspec.msgpack.decode(envelope.body, type=message_type)
+            content = decode_content(envelope.kind, envelope.body)
         except msgspec.MsgspecError as error:
             self._metrics.count("peers.malformed")
             log(PEER_MESSAGE_SKIPPED, error=str(error))
@@ -394,7 +380,7 @@
             if reply and not reply.done():
                 reply.set_result(content)
             return
-        if handler := self._handlers_by_type.get(message_type):
+        if handler := self._handlers_by_type.get(type(content)):
             self._spawn(self._handle(handler, socket, route, envelope, content))
 
     async def _handle(
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Fleet: the directory of live instances, and the notifications that instances send each other."""
 
+from mastickeel_router.fleet.broadcast import Broadcast
 from mastickeel_router.fleet.instances import InstanceDirectory
 from mastickeel_router.fleet.sharing import (
     share_crashes,
@@ -9,6 +10,7 @@
 )
 
 __all__ = [
+    "Broadcast",
     "InstanceDirectory",
     "share_crashes",
     "share_evidence",
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -49,6 +49,7 @@
         *,
         prefix: str,
         host: str,
+        data_centre: str,
         clock: Clock,
     ) -> None:
         """Creates the directory without registering this instance.
@@ -58,13 +59,17 @@
             link: Connects to the peers in the directory.
             prefix: Prefix of the fleet's keys.
             host: Host under which peers reach this instance.
+            data_centre: Data centre of this instance.
             clock: Times the renewals.
         """
         self._store = store
         self._link = link
         self.entries_prefix = f"{prefix}/instances/"
         """Prefix of the keys of entries."""
+        self.data_centres_by_peer: dict[str, str] = {}
+        """Data centres of the peers, as far as their entries name one."""
         self._host = host
+        self._data_centre = data_centre
         self._clock = clock
 
     async def keep_registered(self) -> None:
@@ -88,7 +93,8 @@
         lease = await self._store.grant(LEASE_TTL_SECONDS)
         address = f"{self._host}:{self._link.port}"
         key = f"{self.entries_prefix}{self._link.instance_id}"
-        await self._store.txn((), (Put(key, address.encode(), lease),))
+        value = f"{address} {self._data_centre}".encode()
+        await self._store.txn((), (Put(key, value, lease),))
         log(REGISTERED, address=address, lease=lease)
         return lease
 
@@ -105,14 +111,19 @@
         if peer_id == self._link.instance_id:
             return
         try:
-            address = Address.parse(item.value.decode())
+            # Entries of older versions of the program hold the address alone.
+            text, _, data_centre = item.value.decode().partition(" ")
+            address = Address.parse(text)
         except ValueError as error:
             log(PEER_REMOVED, peer=peer_id, error=str(error))
             return
         log(PEER_FOUND, peer=peer_id, address=str(address), revision=item.mod_revision)
         self._link.connect(peer_id, address)
+        if data_centre:
+            self.data_centres_by_peer[peer_id] = data_centre
 
     def _remove_entry(self, key: str) -> None:
         peer_id = key.removeprefix(self.entries_prefix)
         log(PEER_REMOVED, peer=peer_id)
+        self.data_centres_by_peer.pop(peer_id, None)
         self._link.disconnect(peer_id)
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from mastickeel.peers import message
 from mastickeel_router.placement import WorkSentNotice
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mastickeel.peers import PeerLink
+    from mastickeel_router.fleet.broadcast import Broadcast
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
     from mastickeel_router.releases import Releases, SessionVersions
@@ -32,14 +32,14 @@
 
 
 def share_loads(
-    link: PeerLink,
+    broadcast: Broadcast,
     loads: EndpointLoads,
     is_listed: Callable[[str], bool] = lambda endpoint_id: True,
 ) -> None:
     """Sends this instance's work to the peers and applies their work.
 
     Args:
-        link: Connections to the peers.
+        broadcast: Sends notices to the peers.
         loads: Loads of the endpoints.
         is_listed: Tells by id whether an endpoint is listed; work on others is ignored.
     """
@@ -48,51 +48,34 @@
         if is_listed(notice.endpoint):
             loads.apply_work(notice)
 
-    loads.on_work_sent.append(lambda sent: _send_to_peers(link, sent))
-    _register_handler(link, WorkSentNotice, apply)
+    loads.on_work_sent.append(broadcast.publish)
+    broadcast.register_handler(WorkSentNotice, apply)
 
 
-def share_evidence(link: PeerLink, releases: Releases) -> None:
+def share_evidence(broadcast: Broadcast, releases: Releases) -> None:
     """Sends this instance's evidence of releases to the peers and records theirs."""
-    releases.on_report.append(lambda evidence: _send_to_peers(link, evidence))
-    _register_handler(link, EvidenceReport, releases.record_evidence)
+    releases.on_report.append(broadcast.publish)
+    broadcast.register_handler(EvidenceReport, releases.record_evidence)
 
 
-def share_sessions(link: PeerLink, sessions: SessionVersions) -> None:
+def share_sessions(broadcast: Broadcast, sessions: SessionVersions) -> None:
     """Sends the versions of sessions to the peers, which may get the sessions' next requests."""
     sessions.on_run.append(
-        lambda session, version: _send_to_peers(link, SessionRunNotice(session, version))
+        lambda session, version: broadcast.publish(SessionRunNotice(session, version))
     )
-    _register_handler(
-        link,
+    broadcast.register_handler(
         SessionRunNotice,
         lambda sender, notice: sessions.apply_run(notice.session, notice.version),
     )
 
 
-def share_crashes(link: PeerLink, reports: CrashReports) -> None:
+def share_crashes(broadcast: Broadcast, reports: CrashReports) -> None:
     """Sends this instance's crash reports and success notices to the peers and applies theirs."""
-    reports.on_crash.append(lambda report: _send_to_peers(link, report))
-    reports.on_success.append(lambda notice: _send_to_peers(link, notice))
-    _register_handler(
-        link, ContentCrashReport, lambda sender, report: reports.apply_crash_report(report)
+    reports.on_crash.append(broadcast.publish)
+    reports.on_success.append(broadcast.publish)
+    broadcast.register_handler(
+        ContentCrashReport, lambda sender, report: reports.apply_crash_report(report)
     )
-    _register_handler(
-        link, ContentSuccessNotice, lambda sender, notice: reports.apply_success(notice)
+    broadcast.register_handler(
+        ContentSuccessNotice, lambda sender, notice: reports.apply_success(notice)
     )
-
-
-def _send_to_peers(link: PeerLink, notice: Any) -> None:
-    for peer_id in link.peer_ids:
-        link.send_notice(peer_id, notice)
-
-
-def _register_handler(
-    link: PeerLink, kind: type[Any], on_message: Callable[[str, Any], object]
-) -> None:
-    """Registers a function for all messages of a kind; the messages get no reply."""
-
-    async def handle(sender: str, notice: Any) -> None:
-        on_message(sender, notice)
-
-    link.register_handler(kind, handle)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -6,6 +6,7 @@
 import random
 import time
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from mastickeel import events
@@ -20,6 +21,7 @@
 from mastickeel_router.discovery import EndpointRegistry, follow_prefix
 from mastickeel_router.discovery.feeds import WatchHandler, combine_handlers
 from mastickeel_router.fleet import (
+    Broadcast,
     InstanceDirectory,
     share_crashes,
     share_evidence,
@@ -254,19 +256,27 @@
         if settings.peers is None:
             return None, None
         link = PeerLink(settings.instance.id, clock=self.clock, metrics=self._peer_metrics)
-        share_loads(
-            link, self.loads, lambda endpoint_id: self.registry.get(endpoint_id) is not None
-        )
-        share_evidence(link, self.releases)
-        share_sessions(link, self.releases.sessions)
-        share_crashes(link, self.crashes)
         instances = InstanceDirectory(
             self._deployment.store,
             link,
             prefix=settings.store.prefix,
             host=settings.peers.listen.host,
+            data_centre=settings.instance.data_centre,
+            clock=self.clock,
+        )
+        broadcast = Broadcast(
+            link,
             clock=self.clock,
+            data_centre=settings.instance.data_centre,
+            data_centres_by_peer=instances.data_centres_by_peer,
+            tasks=self._tasks,
+        )
+        share_loads(
+            broadcast, self.loads, lambda endpoint_id: self.registry.get(endpoint_id) is not None
         )
+        share_evidence(broadcast, self.releases)
+        share_sessions(broadcast, self.releases.sessions)
+        share_crashes(broadcast, self.crashes)
         return link, instances
 
     def _make_context(self) -> Context:
@@ -319,7 +329,7 @@
         peer_totals = self._peer_metrics.totals_by_name
         for name, description in PEER_COUNTERS.items():
             metrics.add_gauge(
-                f"peer_{name}", description, lambda name=name: peer_totals[f"peers.{name}"]
+                f"peer_{name}", description, partial(peer_totals.__getitem__, f"peers.{name}")
             )
 
     def _store_silence_s(self) -> float:
--- a/tests/mastickeel_router/fleet/test_sharing.py
+++ b/tests/mastickeel_router/fleet/test_sharing.py
@@ -10,8 +10,15 @@
 from mastickeel.clock import Clock, FakeClock
 from mastickeel.metrics import Metrics
 from mastickeel.peers import PeerLink
+from mastickeel.tasks import TaskGroup
 from mastickeel_router.discovery import EndpointRecord, follow_prefix
-from mastickeel_router.fleet import InstanceDirectory, share_evidence, share_loads, share_sessions
+from mastickeel_router.fleet import (
+    Broadcast,
+    InstanceDirectory,
+    share_evidence,
+    share_loads,
+    share_sessions,
+)
 from mastickeel_router.placement import Demand, EndpointLoads
 from mastickeel_router.relay.types import PromptPart
 from mastickeel_router.releases import EvidenceReport, SessionVersions
@@ -72,6 +79,7 @@
     async def asyncSetUp(self) -> None:
         self.store = MemoryStore()
         self.links = []
+        self.broadcasts = []
         self.loads = []
         self.tasks = []
         for number in range(2):
@@ -79,14 +87,24 @@
             link = PeerLink(f"i{number}", clock=clock, metrics=Metrics())
             await link.bind(Address("127.0.0.1", 0))
             loads = EndpointLoads(clock, random.Random(number), "dc-a")
-            share_loads(link, loads)
             instances = InstanceDirectory(
                 self.store,
                 link,
                 prefix="/m",
                 host="127.0.0.1",
+                data_centre="dc-a",
                 clock=clock,
             )
+            group = TaskGroup()
+            self.addAsyncCleanup(group.stop)
+            broadcast = Broadcast(
+                link,
+                clock=clock,
+                data_centre="dc-a",
+                data_centres_by_peer=instances.data_centres_by_peer,
+                tasks=group,
+            )
+            share_loads(broadcast, loads)
             entries, prefix = instances.entry_handler(), instances.entries_prefix
             following = follow_prefix(
                 self.store, prefix, entries, clock=clock, rng=random.Random(number)
@@ -96,6 +114,7 @@
                 asyncio.ensure_future(following),
             ]
             self.links.append(link)
+            self.broadcasts.append(broadcast)
             self.loads.append(loads)
 
     async def asyncTearDown(self) -> None:
@@ -127,7 +146,7 @@
 
     async def test_work_on_an_unlisted_endpoint_is_ignored(self) -> None:
         await self.until(lambda: all(link.peer_ids for link in self.links))
-        share_loads(self.links[1], self.loads[1], lambda endpoint_id: endpoint_id == "e1")
+        share_loads(self.broadcasts[1], self.loads[1], lambda endpoint_id: endpoint_id == "e1")
         for record in RECORDS[:2]:
             self.loads[0].record_start(record, prompt(record.id), "m")
         await self.until(lambda: "e1" in self.loads[1]._caches_by_id)
@@ -137,8 +156,8 @@
     async def test_version_of_a_session_is_known_to_the_other_instance(self) -> None:
         await self.until(lambda: all(link.peer_ids for link in self.links))
         sessions = [SessionVersions(Clock(), gap_ms=60_000) for _ in self.links]
-        for link, versions in zip(self.links, sessions, strict=True):
-            share_sessions(link, versions)
+        for broadcast, versions in zip(self.broadcasts, sessions, strict=True):
+            share_sessions(broadcast, versions)
         sessions[0].record_run("session-1", "v1")
         await self.until(lambda: sessions[1].version_of("session-1"))
         self.assertEqual(sessions[1].version_of("session-1"), "v1")
@@ -147,8 +166,8 @@
     async def test_release_evidence_reaches_the_other_instance_with_its_sender(self) -> None:
         await self.until(lambda: all(link.peer_ids for link in self.links))
         releases = [RecordedEvidence() for _ in self.links]
-        for link, recorded in zip(self.links, releases, strict=True):
-            share_evidence(link, recorded)  # type: ignore[arg-type]
+        for broadcast, recorded in zip(self.broadcasts, releases, strict=True):
+            share_evidence(broadcast, recorded)  # type: ignore[arg-type]
         evidence = EvidenceReport("s", 7, {"r": Block()})
         for notify in releases[0].on_report:
             notify(evidence)
--- a/tests/mastickeel_router/quarantine/test_reports.py
+++ b/tests/mastickeel_router/quarantine/test_reports.py
@@ -9,7 +9,8 @@
 from mastickeel.clock import Clock, FakeClock
 from mastickeel.metrics import Metrics
 from mastickeel.peers import PeerLink
-from mastickeel_router.fleet import share_crashes
+from mastickeel.tasks import TaskGroup
+from mastickeel_router.fleet import Broadcast, share_crashes
 from mastickeel_router.quarantine.replica import CRASH_TTL_MS
 from mastickeel_router.quarantine.reports import (
     REFUSED_AFTER_CRASHES,
@@ -157,7 +158,16 @@
             self.addAsyncCleanup(link.close)
             links.append(link)
             self.reports.append(CrashReports(Clock()))
-            share_crashes(link, self.reports[-1])
+            group = TaskGroup()
+            self.addAsyncCleanup(group.stop)
+            broadcast = Broadcast(
+                link,
+                clock=Clock(),
+                data_centre="dc-a",
+                data_centres_by_peer={f"i{peer}": "dc-a" for peer in range(3)},
+                tasks=group,
+            )
+            share_crashes(broadcast, self.reports[-1])
         for link in links:
             for other in links:
                 if link is not other:
