Test: the retries of a grown fleet stay within its slack

On this code 58 instances take 174 retries where 58 are allowed; the tests name the fleet's size, which the budget does not know yet.

--- a/tests/mastickeel_router/relay/test_budget.py
+++ b/tests/mastickeel_router/relay/test_budget.py
@@ -9,6 +9,7 @@
 from mastickeel_router.relay.budget import INSTANCES_SHARING, RetryBudget, RetryLimits
 
 LIMITS = RetryLimits(ratio=0.9, slack=58, window_ms=10_000)
+GROWN_FLEET = 58
 
 
 class BudgetTest(unittest.IsolatedAsyncioTestCase):
@@ -35,6 +36,22 @@
             )
             self.assertLessEqual(sent, LIMITS.ratio * requested + LIMITS.slack)
 
+    async def test_grown_fleet_stays_within_its_slack(self) -> None:
+        clock = FakeClock()
+        budgets = [RetryBudget(clock, LIMITS, lambda: GROWN_FLEET) for _ in range(GROWN_FLEET)]
+        granted = sum(budget.try_acquire("s") for budget in budgets for _ in range(60))
+        self.assertLessEqual(granted, LIMITS.slack)
+
+    async def test_lapsed_entries_of_instances_do_not_enlarge_the_shares(self) -> None:
+        clock = FakeClock()
+        known = [GROWN_FLEET]
+        budgets = [RetryBudget(clock, LIMITS, lambda: known[0]) for _ in range(GROWN_FLEET)]
+        for budget in budgets:
+            budget.record_request("s")
+        known[0] = 1
+        granted = sum(budget.try_acquire("s") for budget in budgets for _ in range(60))
+        self.assertLessEqual(granted, LIMITS.slack + LIMITS.ratio * GROWN_FLEET)
+
     async def test_instance_without_requests_may_still_retry(self) -> None:
         clock = FakeClock()
         budget = RetryBudget(clock, LIMITS)
