Divide the slack of retries by the instances of the fleet

Cause: the budget divided the fleet's slack by 16, the largest fleet known when it was written; 58 instances could retry 3.6 times the slack (BUDGET). Change: the slack is divided by the largest number of instances known since the start, 16 at least. Entries that lapse with an outage of the store do not enlarge the shares of the others.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -117,7 +117,7 @@
         """Registry of live endpoints."""
         self.loads = EndpointLoads(clock, self.rng, settings.instance.data_centre)
         """Load of each endpoint, estimated from sends."""
-        self.budget = RetryBudget(clock, settings.repeats)
+        self.budget = RetryBudget(clock, settings.repeats, self._count_instances)
         """Retry budget."""
         self.crashes = CrashReports(clock, self._runs_trial)
         """Request contents that crashed endpoints."""
@@ -250,6 +250,10 @@
         peer_ids = self._link.peer_ids if self._link is not None else ()
         return rank(str(fingerprint), (own_id, *peer_ids))[0] == own_id
 
+    def _count_instances(self) -> int:
+        """Returns the number of instances of the fleet that are known now, with this one."""
+        return 1 + (len(self._link.peer_ids) if self._link is not None else 0)
+
     def _make_fleet(self) -> tuple[PeerLink | None, InstanceDirectory | None]:
         """Creates peer link and instance directory; None without `peers` in the settings."""
         settings = self.settings
--- a/tests/mastickeel_router/relay/test_budget.py
+++ b/tests/mastickeel_router/relay/test_budget.py
@@ -6,7 +6,7 @@
 import unittest
 
 from mastickeel.clock import FakeClock
-from mastickeel_router.relay.budget import INSTANCES_SHARING, RetryBudget, RetryLimits
+from mastickeel_router.relay.budget import MIN_INSTANCES_SHARING, RetryBudget, RetryLimits
 
 LIMITS = RetryLimits(ratio=0.9, slack=58, window_ms=10_000)
 GROWN_FLEET = 58
@@ -16,7 +16,7 @@
     async def test_fleet_stays_within_its_limits_when_every_request_fails(self) -> None:
         clock = FakeClock()
         rng = random.Random(5)
-        budgets = [RetryBudget(clock, LIMITS) for _ in range(INSTANCES_SHARING)]
+        budgets = [RetryBudget(clock, LIMITS) for _ in range(MIN_INSTANCES_SHARING)]
         requests: list[int] = []
         retries: list[int] = []
         for _ in range(1_000):
