Let changes of the store that follow each other share a poll

Cause: each poll of the watch returned with the first change and the next one followed at once, so that while the endpoints of a release start, every instance polled for each change of an entry. Class: work that grows with the fleet, here endpoints x instances. Change: after a poll that returned changes the next one waits 200 ms; what changes meanwhile arrives with it. A single change is still delivered at once. The store in memory of the tests polls as the platform's does. Evidence: the test failed before (120 polls for 120 changes in two seconds; 12 allowed) and passes.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -21,6 +21,9 @@
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 800
 """Less than half of the two seconds within which a change must be in force after an outage."""
+WATCH_BATCH_INTERVAL_MS = 200
+"""Time without a poll after one that returned changes; the changes of this time arrive together
+with the next poll. A tenth of the two seconds within which a change must be in force."""
 
 HISTORY_LOST = define_event(
     2310,
@@ -118,6 +121,7 @@
         self._store = store
         self._prefix = prefix
         self._handler = handler
+        self._clock = clock
         self._down = False
 
     async def run(self) -> None:
@@ -127,10 +131,16 @@
             self._record_answer()
             self._handler.on_list(listed.items, listed.revision)
             self.revision = listed.revision
+        has_changes = False
         async for batch in self._store.watch(self._prefix, self.revision + 1):
             self._record_answer()
             self._apply(batch)
             self.revision = max(self.revision, batch.revision)
+            if batch.puts or batch.deletes:
+                has_changes = True
+            elif has_changes:
+                has_changes = False
+                await self._clock.sleep(WATCH_BATCH_INTERVAL_MS)
 
     def record_outage(self, error: StoreError) -> None:
         """Records that the store did not answer; logs only the start of an outage."""
--- a/tests/mastickeel_router/discovery/test_feeds.py
+++ b/tests/mastickeel_router/discovery/test_feeds.py
@@ -8,8 +8,7 @@
 
 from mastickeel.clock import FakeClock
 from mastickeel_router.discovery import follow_prefix
-from mastickeel_router.discovery.feeds import MAX_BACKOFF_MS, WatchHandler
-WATCH_BATCH_INTERVAL_MS = 200
+from mastickeel_router.discovery.feeds import MAX_BACKOFF_MS, WATCH_BATCH_INTERVAL_MS, WatchHandler
 from tests.mastickeel_router.memorystore import MemoryStore
 
 
--- a/tests/mastickeel_router/memorystore.py
+++ b/tests/mastickeel_router/memorystore.py
@@ -108,13 +108,15 @@
             self._raise_if_down()
             if after < self.compacted_revision:
                 raise StoreCompactedError()
+            newest = self._revision
             for batch in [batch for batch in self._history if batch.revision > after]:
                 keys = [item.key for item in batch.puts] + list(batch.deletes)
                 if keys[0].startswith(prefix):
                     yield batch
-                after = batch.revision
+            after = max(after, newest)
             yield WatchBatch(after)
-            await self._changed.wait()
+            while self._revision <= after and not self.is_down:
+                await self._changed.wait()
 
     def _raise_if_down(self) -> None:
         if self.is_down:
