Keep notices between instances from filling slow links

Cause: a relay sends every notice to its whole data centre, 42 KB/s to each instance; the relay was chosen without regard to its link; a batch without an acknowledgement was sent again to up to two more relays, which under load filled further links; up to 1,000 batches waited for an instance that does not read.

--- a/packages/mastickeel/src/mastickeel/peers.py
+++ b/packages/mastickeel/src/mastickeel/peers.py
@@ -114,6 +114,7 @@
         metrics: Metrics,
         secret: str | None = None,
         other_secret: str | None = None,
+        max_queued_messages: int = MAX_QUEUED_MESSAGES,
     ) -> None:
         """Creates the link.
 
@@ -123,6 +124,7 @@
             metrics: Counts messages and bytes.
             secret: The fleet's CURVE secret key in Z85; None for plain TCP on loopback.
             other_secret: The previous or next key, also accepted while keys are being changed.
+            max_queued_messages: Messages queued for a peer that does not read; bounds the memory.
         """
         self.instance_id = instance_id
         """The id of this instance."""
@@ -132,6 +134,7 @@
         """Whether a message from one instance to another passes; tests replace it to cut links."""
         self._clock = clock
         self._metrics = metrics
+        self._max_queued_messages = max_queued_messages
         secrets = [text.encode() for text in (secret, other_secret) if text]
         self._secret = secrets[0] if secrets else None
         self._public_keys: list[bytes] = [zmq.curve_public(secret_key) for secret_key in secrets]
@@ -275,8 +278,8 @@
     def _set_options(self, socket: zmq.asyncio.Socket) -> None:
         """Sets options that limit the memory and time that an unresponsive peer can take."""
         socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
-        socket.setsockopt(zmq.RCVHWM, MAX_QUEUED_MESSAGES)
+        socket.setsockopt(zmq.SNDHWM, self._max_queued_messages)
+        socket.setsockopt(zmq.RCVHWM, self._max_queued_messages)
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Fleet: the directory of live instances, and the notifications that instances send each other."""
 
-from mastickeel_router.fleet.broadcast import Broadcast
+from mastickeel_router.fleet.broadcast import Broadcast, PeerTraits
 from mastickeel_router.fleet.instances import InstanceDirectory
 from mastickeel_router.fleet.sharing import (
     share_crashes,
@@ -12,6 +12,7 @@
 __all__ = [
     "Broadcast",
     "InstanceDirectory",
+    "PeerTraits",
     "share_crashes",
     "share_evidence",
     "share_loads",
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import defaultdict
 from dataclasses import dataclass
 from enum import Enum
@@ -25,7 +26,7 @@
 from mastickeel.rendezvous import rank
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     from mastickeel.clock import Clock
     from mastickeel.peers import PeerLink
@@ -35,11 +36,16 @@
 """Minimum time between two batches. Notices of an instance that has been silent for this long leave
 at once."""
 RELAY_TIMEOUT_MS = 400
-"""Maximum time that a relay takes to acknowledge a batch before the next one gets it."""
-MAX_RELAYS_TRIED = 3
+"""Time without an acknowledgement after which another relay gets the next batches."""
+MAX_RELAYS = 3
+"""Number of instances of a data centre that may be its relay."""
 SUSPICION_MS = 5_000
 """Time for which an instance that did not acknowledge a batch is not chosen as a relay: the entry
 of an instance that has ended stays in the store for up to 12 s."""
+COMPRESSION_LEVEL = 1
+"""Notices repeat names of fields, endpoints and instances; the fastest level finds these."""
+MAX_BATCH_BYTES = 2 * 1024 * 1024
+"""Maximum size of the notices of a batch before compression."""
 MAX_WAITING_NOTICES = 5_000
 """Maximum number of notices that wait for the next flush; the oldest are dropped."""
 
@@ -47,7 +53,7 @@
     2374,
     "relay_suspected",
     "warning",
-    "Another instance did not acknowledge a batch of notices; the next relay gets it.",
+    "Another instance did not acknowledge a batch of notices; the next batches avoid it.",
 )
 NOTICE_SKIPPED = define_event(
     2375,
@@ -83,7 +89,37 @@
     """Notices of one or more instances."""
 
     scope: Scope
-    notices: tuple[Notice, ...]
+    packed: bytes
+    """The compressed notices."""
+
+    @classmethod
+    def pack(cls, scope: Scope, notices: Sequence[Notice]) -> NoticeBatch:
+        """Returns a batch of notices."""
+        return cls(scope, zlib.compress(msgspec.msgpack.encode(notices), COMPRESSION_LEVEL))
+
+    def unpack(self) -> tuple[Notice, ...]:
+        """Returns the notices.
+
+        Raises:
+            ValueError: The batch cannot be decoded, or exceeds `MAX_BATCH_BYTES`.
+        """
+        inflater = zlib.decompressobj()
+        try:
+            data = inflater.decompress(self.packed, MAX_BATCH_BYTES)
+        except zlib.error as error:
+            raise ValueError(str(error)) from error
+        if inflater.unconsumed_tail:
+            raise ValueError(f"the batch has more than {MAX_BATCH_BYTES} bytes")
+        return msgspec.msgpack.decode(data, type=tuple[Notice, ...])
+
+
+@dataclass(frozen=True)
+class PeerTraits:
+    """What the choice of a relay depends on."""
+
+    data_centre: str
+    link_mbps: float = 0.0
+    """Bandwidth of the instance's network link in Mbit/s; 0 when not known."""
 
 
 @message("notice_ack")
@@ -100,8 +136,8 @@
         link: PeerLink,
         *,
         clock: Clock,
-        data_centre: str,
-        data_centres_by_peer: Mapping[str, str],
+        traits: PeerTraits,
+        traits_by_peer: Mapping[str, PeerTraits],
         tasks: TaskGroup,
     ) -> None:
         """Creates the broadcast.
@@ -109,16 +145,16 @@
         Args:
             link: Connections to the peers.
             clock: Times the flushes and the suspicion of relays.
-            data_centre: Data centre of this instance.
-            data_centres_by_peer: Data centres of the peers; kept up to date by its owner. Peers
-                that are missing get each notice in a message of its own, as they may run a version
-                of the program that knows no batches.
+            traits: Traits of this instance.
+            traits_by_peer: Traits of the peers; kept up to date by its owner. Peers that are
+                missing get each notice in a message of its own, as they may run a version of the
+                program that knows no batches.
             tasks: Runs the sends; stopped by its owner.
         """
         self._link = link
         self._clock = clock
-        self._data_centre = data_centre
-        self._data_centres_by_peer = data_centres_by_peer
+        self._traits = traits
+        self._traits_by_peer = traits_by_peer
         self._handlers_by_kind: dict[type[Any], Callable[[str, Any], object]] = {}
         self._own: list[Notice] = []
         self._for_data_centre: list[Notice] = []
@@ -141,7 +177,7 @@
     def publish(self, content: Any) -> None:
         """Sends a notice, a registered message, to all other instances; it may be lost."""
         peer_ids = self._link.peer_ids
-        unplaced = [peer for peer in peer_ids if peer not in self._data_centres_by_peer]
+        unplaced = [peer for peer in peer_ids if peer not in self._traits_by_peer]
         self._link.multicast(unplaced, content)
         if len(unplaced) == len(peer_ids):
             return
@@ -163,21 +199,21 @@
     def _flush(self) -> None:
         """Sends all waiting notices, in one batch for each destination."""
         own, self._own = self._own, []
-        if own and self._rank_relays(self._data_centre)[0] == self._link.instance_id:
+        if own and self._rank_relays(self._traits.data_centre)[0] == self._link.instance_id:
             self._queue(Scope.FLEET, own)
         elif own:
-            self._tasks.start(self._send_to_relay(self._data_centre, Scope.FLEET, own))
+            self._tasks.start(self._send_to_relay(self._traits.data_centre, Scope.FLEET, own))
         for_members, self._for_data_centre = self._for_data_centre, []
         for_others, self._for_other_data_centres = self._for_other_data_centres, []
         peers_by_data_centre = self._group_peers()
-        members = peers_by_data_centre.pop(self._data_centre, [])
+        members = peers_by_data_centre.pop(self._traits.data_centre, [])
         if for_members and members:
-            self._link.multicast(members, NoticeBatch(Scope.INSTANCE, tuple(for_members)))
+            self._link.multicast(members, NoticeBatch.pack(Scope.INSTANCE, for_members))
         if for_others:
             for data_centre in peers_by_data_centre:
                 self._tasks.start(self._send_to_relay(data_centre, Scope.DATA_CENTRE, for_others))
 
-    def _queue(self, scope: Scope, notices: list[Notice]) -> None:
+    def _queue(self, scope: Scope, notices: Sequence[Notice]) -> None:
         """Adds notices that this instance relays to its next batches."""
         queues = [self._for_data_centre] if scope is not Scope.INSTANCE else []
         if scope is Scope.FLEET:
@@ -187,20 +223,18 @@
             del queue[:-MAX_WAITING_NOTICES]
 
     async def _send_to_relay(self, data_centre: str, scope: Scope, notices: list[Notice]) -> None:
-        """Sends a batch to the relay of a data centre, and to the next one if it is silent."""
-        batch = NoticeBatch(scope, tuple(notices))
-        for relay in self._rank_relays(data_centre)[:MAX_RELAYS_TRIED]:
-            if relay == self._link.instance_id:
-                self._queue(scope, notices)
-                self._schedule_flush()
-                return
-            try:
-                await self._link.request(relay, batch, NoticeAck, RELAY_TIMEOUT_MS)
-            except (PeerTimeoutError, PeerRefusedError) as error:
-                self._suspect(relay)
-                log(RELAY_SUSPECTED, relay=relay, notices=len(notices), error=str(error))
-            else:
-                return
+        """Sends a batch to the relay of a data centre; the next batch avoids a silent relay.
+
+        A batch without an acknowledgement is not sent again: a relay may be silent because the
+        network is full, which repeated batches would only prolong.
+        """
+        relay = self._rank_relays(data_centre)[0]
+        batch = NoticeBatch.pack(scope, notices)
+        try:
+            await self._link.request(relay, batch, NoticeAck, RELAY_TIMEOUT_MS)
+        except (PeerTimeoutError, PeerRefusedError) as error:
+            self._suspect(relay)
+            log(RELAY_SUSPECTED, relay=relay, notices=len(notices), error=str(error))
 
     def _suspect(self, relay: str) -> None:
         """Marks an instance that did not acknowledge a batch, and removes marks that are over."""
@@ -209,32 +243,43 @@
         self._suspected_until_ms = {**marks, relay: now + SUSPICION_MS}
 
     def _rank_relays(self, data_centre: str) -> list[str]:
-        """Returns the instances of a data centre in the order in which they are tried as relays.
+        """Returns the possible relays of a data centre in the order in which they are chosen.
 
-        Instances that did not acknowledge a recent batch come last.
+        Those with the fastest link come first, as a relay sends every notice to its whole data
+        centre. Relays that did not acknowledge a recent batch come last. No other instance is
+        chosen: if the network is full, each instance would become its own relay.
         """
         ids = self._group_peers().get(data_centre, [])
-        if data_centre == self._data_centre:
+        if data_centre == self._traits.data_centre:
             ids = [*ids, self._link.instance_id]
+        relays = sorted(rank(data_centre, ids), key=lambda peer: -self._link_mbps(peer))
         now = self._clock.now()
         return sorted(
-            rank(data_centre, ids), key=lambda peer: self._suspected_until_ms.get(peer, 0) > now
+            relays[:MAX_RELAYS], key=lambda peer: self._suspected_until_ms.get(peer, 0) > now
         )
 
+    def _link_mbps(self, peer: str) -> float:
+        return self._traits_by_peer.get(peer, self._traits).link_mbps
+
     def _group_peers(self) -> dict[str, list[str]]:
         """Returns the ids of the connected peers by data centre."""
         peers_by_data_centre: dict[str, list[str]] = defaultdict(list)
         for peer in self._link.peer_ids:
-            if peer in self._data_centres_by_peer:
-                peers_by_data_centre[self._data_centres_by_peer[peer]].append(peer)
+            if peer in self._traits_by_peer:
+                peers_by_data_centre[self._traits_by_peer[peer].data_centre].append(peer)
         return peers_by_data_centre
 
     async def _accept_batch(self, sender: str, batch: NoticeBatch) -> NoticeAck:
         """Applies the notices of a batch, and relays them as its scope says."""
+        try:
+            notices = batch.unpack()
+        except ValueError as error:
+            log(NOTICE_SKIPPED, sender=sender, error=str(error))
+            return NoticeAck()
         if batch.scope is not Scope.INSTANCE:
-            self._queue(batch.scope, list(batch.notices))
+            self._queue(batch.scope, notices)
             self._schedule_flush()
-        for notice in batch.notices:
+        for notice in notices:
             if notice.origin != self._link.instance_id:
                 self._apply(notice)
         return NoticeAck()
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from mastickeel.addresses import Address
 from mastickeel.errors import StoreError
 from mastickeel.events import define_event
 from mastickeel.keyvalue import Put
 from mastickeel.logs import log
 from mastickeel_router.discovery.feeds import WatchHandler
+from mastickeel_router.fleet.broadcast import PeerTraits
 
 if TYPE_CHECKING:
     from mastickeel._kvtypes import KeyValue
@@ -39,6 +43,15 @@
 )
 
 
+@dataclass(frozen=True)
+class _Entry:
+    """Entry of an instance in the store."""
+
+    address: str
+    data_centre: str = ""
+    link_mbps: float = 0.0
+
+
 class InstanceDirectory:
     """Maintains this instance's entry in the store, and the peer link's connections to others."""
 
@@ -49,7 +62,7 @@
         *,
         prefix: str,
         host: str,
-        data_centre: str,
+        traits: PeerTraits,
         clock: Clock,
     ) -> None:
         """Creates the directory without registering this instance.
@@ -59,17 +72,17 @@
             link: Connects to the peers in the directory.
             prefix: Prefix of the fleet's keys.
             host: Host under which peers reach this instance.
-            data_centre: Data centre of this instance.
+            traits: Traits of this instance.
             clock: Times the renewals.
         """
         self._store = store
         self._link = link
         self.entries_prefix = f"{prefix}/instances/"
         """Prefix of the keys of entries."""
-        self.data_centres_by_peer: dict[str, str] = {}
-        """Data centres of the peers, as far as their entries name one."""
+        self.traits_by_peer: dict[str, PeerTraits] = {}
+        """Traits of the peers, as far as their entries name them."""
         self._host = host
-        self._data_centre = data_centre
+        self._traits = traits
         self._clock = clock
 
     async def keep_registered(self) -> None:
@@ -93,8 +106,8 @@
         lease = await self._store.grant(LEASE_TTL_SECONDS)
         address = f"{self._host}:{self._link.port}"
         key = f"{self.entries_prefix}{self._link.instance_id}"
-        value = f"{address} {self._data_centre}".encode()
-        await self._store.txn((), (Put(key, value, lease),))
+        entry = _Entry(address, self._traits.data_centre, self._traits.link_mbps)
+        await self._store.txn((), (Put(key, msgspec.json.encode(entry), lease),))
         log(REGISTERED, address=address, lease=lease)
         return lease
 
@@ -111,19 +124,29 @@
         if peer_id == self._link.instance_id:
             return
         try:
-            # Entries of older versions of the program hold the address alone.
-            text, _, data_centre = item.value.decode().partition(" ")
-            address = Address.parse(text)
+            entry = _parse_entry(item.value)
+            address = Address.parse(entry.address)
         except ValueError as error:
             log(PEER_REMOVED, peer=peer_id, error=str(error))
             return
         log(PEER_FOUND, peer=peer_id, address=str(address), revision=item.mod_revision)
         self._link.connect(peer_id, address)
-        if data_centre:
-            self.data_centres_by_peer[peer_id] = data_centre
+        if entry.data_centre:
+            self.traits_by_peer[peer_id] = PeerTraits(entry.data_centre, entry.link_mbps)
 
     def _remove_entry(self, key: str) -> None:
         peer_id = key.removeprefix(self.entries_prefix)
         log(PEER_REMOVED, peer=peer_id)
-        self.data_centres_by_peer.pop(peer_id, None)
+        self.traits_by_peer.pop(peer_id, None)
         self._link.disconnect(peer_id)
+
+
+def _parse_entry(value: bytes) -> _Entry:
+    """Decodes an entry; those of older versions of the program hold the address alone.
+
+    Raises:
+        ValueError: The entry cannot be decoded.
+    """
+    if value.startswith(b"{"):
+        return msgspec.json.decode(value, type=_Entry)
+    return _Entry(value.decode())
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -23,6 +23,7 @@
 from mastickeel_router.fleet import (
     Broadcast,
     InstanceDirectory,
+    PeerTraits,
     share_crashes,
     share_evidence,
     share_loads,
@@ -62,6 +63,8 @@
 """Time without open requests after which a drain ends; the last accepted connection may still bring
 its first request."""
 
+MAX_QUEUED_BATCHES = 32
+"""Batches of notices queued for an instance that does not read: those of three seconds."""
 PEER_COUNTERS = {
     "sent": "Messages sent to other instances",
     "sent_bytes": "Bytes of messages sent to other instances",
@@ -259,20 +262,26 @@
         settings = self.settings
         if settings.peers is None:
             return None, None
-        link = PeerLink(settings.instance.id, clock=self.clock, metrics=self._peer_metrics)
+        link = PeerLink(
+            settings.instance.id,
+            clock=self.clock,
+            metrics=self._peer_metrics,
+            max_queued_messages=MAX_QUEUED_BATCHES,
+        )
+        traits = PeerTraits(settings.instance.data_centre, settings.peers.link_mbps)
         instances = InstanceDirectory(
             self._deployment.store,
             link,
             prefix=settings.store.prefix,
             host=settings.peers.listen.host,
-            data_centre=settings.instance.data_centre,
+            traits=traits,
             clock=self.clock,
         )
         broadcast = Broadcast(
             link,
             clock=self.clock,
-            data_centre=settings.instance.data_centre,
-            data_centres_by_peer=instances.data_centres_by_peer,
+            traits=traits,
+            traits_by_peer=instances.traits_by_peer,
             tasks=self._tasks,
         )
         share_loads(
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -35,6 +35,9 @@
     """Listener for the other instances, on the fleet's own network."""
 
     listen: Address
+    link_mbps: float = 0.0
+    """Bandwidth of the instance's network link in Mbit/s; 0 when not known. Of the instances of a
+    data centre one with the fastest link relays the notices of all."""
 
 
 @dataclass(frozen=True)
@@ -108,6 +111,8 @@
     faults = [
         f"settings.{key} is {value}; write a number above 0" for key, value in numbers if value <= 0
     ]
+    if settings.peers is not None and settings.peers.link_mbps < 0:
+        faults.append(f"settings.peers.link_mbps is {settings.peers.link_mbps}; write 0 or more")
     if settings.repeats.ratio < 0:
         faults.append(f"settings.repeats.ratio is {settings.repeats.ratio}; write 0 or more")
     if settings.stop.reserve_ms >= settings.stop.grace_ms:
