--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -36,6 +36,7 @@
     "exposure": "bench.measure.exposure",
     "capacity": "bench.measure.capacity",
     "placing": "bench.measure.placing",
+    "broadcast": "bench.measure.broadcast",
 }
 """Every measurement, the longest first."""
 QUICK_AT_ONCE = 3
