Release permits that a replica grants after the requester stopped waiting

Cause: a replica that granted a permit after the requester's 250 ms kept it for 120 s, as the requester released only the permits whose grant it had seen; the content was busy meanwhile. Change: a permit lists the replicas whose answer is missing too; they get the release or the crash report, which arrives after the request on the same connection. Evidence: test_permit_that_is_granted_late_is_released failed before (the permit stayed for 120 s) and passes.

--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/guard.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/guard.py
@@ -75,13 +75,14 @@
 
 @dataclass(frozen=True)
 class Permit:
-    """Permission for one send, with the replicas that granted it."""
+    """Permission for one send."""
 
     fingerprint: int
     account_id: str
     send_id: str
     version_id: str
     replica_ids: tuple[str, ...]
+    """Replicas that granted it, and those whose answer is missing: they may grant it late."""
 
 
 class Quarantine:
@@ -238,18 +239,20 @@
         if request.deadline_ms is not None:
             deadline_ms = min(deadline_ms, request.deadline_ms)
         while True:
-            replies = await self._request_permits(permit_request)
-            granted_by = tuple(
+            answers = await self._request_permits(permit_request)
+            held_by = tuple(
                 member_id
-                for member_id, reply in replies.items()
-                if reply.verdict is Verdict.GRANTED
+                for member_id, reply in answers.items()
+                if reply is None or reply.verdict is Verdict.GRANTED
             )
-            permit = Permit(fingerprint, request.account_id, send_id, version_id, granted_by)
+            permit = Permit(fingerprint, request.account_id, send_id, version_id, held_by)
+            replies = [reply for reply in answers.values() if reply is not None]
             has_quorum = len(replies) >= self._quorum()
             refused_until_wall_ms = refusal_end_wall_ms(
-                {crash for reply in replies.values() for crash in reply.crashes}
+                {crash for reply in replies for crash in reply.crashes}
             )
-            if has_quorum and len(granted_by) == len(replies) and not refused_until_wall_ms:
+            all_granted = all(reply.verdict is Verdict.GRANTED for reply in replies)
+            if has_quorum and all_granted and not refused_until_wall_ms:
                 return permit
             self._release_permit(permit, finished=False)
             if refused_until_wall_ms:
@@ -266,22 +269,26 @@
                 )
             await self._clock.sleep(self._rng.uniform(BUSY_PAUSE_MS, 2 * BUSY_PAUSE_MS))
 
-    async def _request_permits(self, request: PermitRequest) -> dict[str, PermitReply]:
-        """Requests a permit from the replicas; suspected replicas only if needed for a quorum."""
+    async def _request_permits(self, request: PermitRequest) -> dict[str, PermitReply | None]:
+        """Requests a permit from the replicas; suspected replicas only if needed for a quorum.
+
+        Returns:
+            The replies by member id; None for a member that did not answer in time.
+        """
         ranked = self._ranked_members(request.fingerprint)[:REPLICAS]
         suspected = self._suspected_members()
-        replies = await self._request_from(
+        answers = await self._request_from(
             [member_id for member_id in ranked if member_id not in suspected], request
         )
-        if len(replies) < self._quorum():
-            replies |= await self._request_from(
+        if sum(reply is not None for reply in answers.values()) < self._quorum():
+            answers |= await self._request_from(
                 [member_id for member_id in ranked if member_id in suspected], request
             )
-        return replies
+        return answers
 
     async def _request_from(
         self, member_ids: list[str], request: PermitRequest
-    ) -> dict[str, PermitReply]:
+    ) -> dict[str, PermitReply | None]:
         """Requests a permit from members concurrently; returns the replies by member id."""
         results = await asyncio.gather(
             *(
@@ -290,13 +297,15 @@
             ),
             return_exceptions=True,
         )
-        replies: dict[str, PermitReply] = {}
+        answers: dict[str, PermitReply | None] = {}
         for member_id, reply in zip(member_ids, results, strict=True):
             if isinstance(reply, PermitReply):
-                replies[member_id] = reply
-            elif not isinstance(reply, MastickeelError):
+                answers[member_id] = reply
+            elif isinstance(reply, MastickeelError):
+                answers[member_id] = None
+            else:
                 raise reply
-        return replies
+        return answers
 
     def _quorum(self) -> int:
         """Returns how many replicas must answer.
@@ -323,7 +332,7 @@
             raise
 
     def _release_permit(self, permit: Permit, finished: bool) -> None:
-        """Sends the release of a permit to the replicas that granted it, without waiting."""
+        """Sends the release of a permit to its replicas, without waiting."""
         notice = PermitReleaseNotice(
             permit.fingerprint, permit.send_id, permit.version_id, finished
         )
--- a/tests/mastickeel_router/quarantine/test_quarantine.py
+++ b/tests/mastickeel_router/quarantine/test_quarantine.py
@@ -21,6 +21,7 @@
     Crash,
     CrashReport,
     PermitReleaseNotice,
+    PermitReply,
     PermitRequest,
     QuarantineReplica,
     Verdict,
@@ -188,6 +189,25 @@
             codes = [await self.send(node_id, n) for n, node_id in enumerate(self.ranked[:2])]
         self.assertEqual((codes, len(self.crashed)), (["unavailable"] * 2, 1))
 
+    async def test_permit_that_is_granted_late_is_released(self) -> None:
+        late_replica = self.guards_by_id[self.ranked[0]].replica
+        answer = late_replica.on_permit_request
+
+        async def answer_late(sender: str, request: PermitRequest) -> PermitReply:
+            reply = await answer(sender, request)
+            await asyncio.sleep(2 * guard_module.REQUEST_TIMEOUT_MS / 1_000)
+            return reply
+
+        link = self.nodes.nodes_by_id[self.ranked[0]].link
+        link.register_handler(PermitRequest, answer_late)
+        endpoint = Endpoint("engine-0", "127.0.0.1:1", "dc-0")
+        async with self.guards_by_id[self.ranked[4]].guard(make_request(0), "v", endpoint):
+            pass
+        await asyncio.sleep(0.1)
+        (state,) = late_replica.states_by_fingerprint.values()
+        self.assertEqual(state.expiry_ms_by_permit, {})
+        self.assertGreater(state.proven_until_ms_by_version["v"], self.nodes.clock.now())
+
     async def test_two_replicas_with_one_different_crash_each_refuse_together(self) -> None:
         for number, node_id in enumerate(self.ranked[:2]):
             crash = Crash(f"engine-{number}", self.nodes.clock.wall())
