Broadcast: choose a batch's relay when the batch is made; log skipped notices once a kind

From reading the diff. A data centre whose last instance left between the flush and the send would have ended the task with an IndexError (the batch was lost anyway); the relay is now chosen with the batch. Notices of a kind that a newer version sends would have been logged one by one, some 200 a second on a grown installation; now once a kind.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
@@ -5,8 +5,8 @@
 notices that wait at an instance travel in one message, so that the number of messages depends on
 the number of instances and the flush interval, not on the number of requests.
 
-An instance relays every batch that asks for it; senders agree on the relay by rendezvous hashing.
-Instances that disagree about the relay for a while therefore lose nothing.
+An instance relays every batch that asks for it. Senders agree on the relay by the speed of the
+links and by rendezvous hashing, and lose nothing while they disagree about it.
 """
 
 from __future__ import annotations
@@ -48,6 +48,8 @@
 """Maximum size of the notices of a batch before compression."""
 MAX_WAITING_NOTICES = 5_000
 """Maximum number of notices that wait for the next flush; the oldest are dropped."""
+MAX_SKIPPED_KINDS = 64
+"""Maximum number of kinds of notices that are logged as skipped."""
 
 RELAY_SUSPECTED = define_event(
     2374,
@@ -155,13 +157,14 @@
         self._clock = clock
         self._traits = traits
         self._traits_by_peer = traits_by_peer
-        self._handlers_by_kind: dict[type[Any], Callable[[str, Any], object]] = {}
+        self._handlers_by_type: dict[type[Any], Callable[[str, Any], object]] = {}
         self._own: list[Notice] = []
         self._for_data_centre: list[Notice] = []
         self._for_other_data_centres: list[Notice] = []
         self._last_flush_ms = clock.now() - FLUSH_INTERVAL_MS
         self._flush_scheduled = False
         self._suspected_until_ms: dict[str, int] = {}
+        self._skipped_kinds: set[str] = set()
         self._tasks = tasks
         link.register_handler(NoticeBatch, self._accept_batch)
 
@@ -171,7 +174,7 @@
         async def handle(sender: str, notice: Any) -> None:
             on_notice(sender, notice)
 
-        self._handlers_by_kind[kind] = on_notice
+        self._handlers_by_type[kind] = on_notice
         self._link.register_handler(kind, handle)
 
     def publish(self, content: Any) -> None:
@@ -199,10 +202,8 @@
     def _flush(self) -> None:
         """Sends all waiting notices, in one batch for each destination."""
         own, self._own = self._own, []
-        if own and self._rank_relays(self._traits.data_centre)[0] == self._link.instance_id:
-            self._queue(Scope.FLEET, own)
-        elif own:
-            self._tasks.start(self._send_to_relay(self._traits.data_centre, Scope.FLEET, own))
+        if own:
+            self._send_to_relay(self._traits.data_centre, Scope.FLEET, own)
         for_members, self._for_data_centre = self._for_data_centre, []
         for_others, self._for_other_data_centres = self._for_other_data_centres, []
         peers_by_data_centre = self._group_peers()
@@ -211,7 +212,7 @@
             self._link.multicast(members, NoticeBatch.pack(Scope.INSTANCE, for_members))
         if for_others:
             for data_centre in peers_by_data_centre:
-                self._tasks.start(self._send_to_relay(data_centre, Scope.DATA_CENTRE, for_others))
+                self._send_to_relay(data_centre, Scope.DATA_CENTRE, for_others)
 
     def _queue(self, scope: Scope, notices: Sequence[Notice]) -> None:
         """Adds notices that this instance relays to its next batches."""
@@ -222,19 +223,31 @@
             queue.extend(notices)
             del queue[:-MAX_WAITING_NOTICES]
 
-    async def _send_to_relay(self, data_centre: str, scope: Scope, notices: list[Notice]) -> None:
-        """Sends a batch to the relay of a data centre; the next batch avoids a silent relay.
+    def _send_to_relay(self, data_centre: str, scope: Scope, notices: list[Notice]) -> None:
+        """Sends a batch to the relay of a data centre, or queues it if this instance is the relay.
+
+        Args:
+            data_centre: One with an instance that is known to take batches.
+            scope: Instances to which the relay passes the notices on.
+            notices: Notices of the batch.
+        """
+        relay = self._rank_relays(data_centre)[0]
+        if relay == self._link.instance_id:
+            self._queue(scope, notices)
+        else:
+            self._tasks.start(self._await_ack(relay, NoticeBatch.pack(scope, notices)))
+
+    async def _await_ack(self, relay: str, batch: NoticeBatch) -> None:
+        """Sends a batch to a relay; later batches avoid the relay if it does not acknowledge.
 
         A batch without an acknowledgement is not sent again: a relay may be silent because the
         network is full, which repeated batches would only prolong.
         """
-        relay = self._rank_relays(data_centre)[0]
-        batch = NoticeBatch.pack(scope, notices)
         try:
             await self._link.request(relay, batch, NoticeAck, RELAY_TIMEOUT_MS)
         except (PeerTimeoutError, PeerRefusedError) as error:
             self._suspect(relay)
-            log(RELAY_SUSPECTED, relay=relay, notices=len(notices), error=str(error))
+            log(RELAY_SUSPECTED, relay=relay, bytes=len(batch.packed), error=str(error))
 
     def _suspect(self, relay: str) -> None:
         """Marks an instance that did not acknowledge a batch, and removes marks that are over."""
@@ -289,10 +302,17 @@
         try:
             content = decode_content(notice.kind, notice.body)
         except msgspec.MsgspecError as error:
-            log(NOTICE_SKIPPED, origin=notice.origin, kind=notice.kind, error=str(error))
+            self._log_skipped(notice, str(error))
             return
-        handler = self._handlers_by_kind.get(type(content))
+        handler = self._handlers_by_type.get(type(content))
         if handler is None:
-            log(NOTICE_SKIPPED, origin=notice.origin, kind=notice.kind)
+            self._log_skipped(notice, "unknown kind")
             return
         handler(notice.origin, content)
+
+    def _log_skipped(self, notice: Notice, error: str) -> None:
+        """Logs a skipped notice; only the first of its kind, as a newer version may send many."""
+        if notice.kind in self._skipped_kinds or len(self._skipped_kinds) >= MAX_SKIPPED_KINDS:
+            return
+        self._skipped_kinds.add(notice.kind)
+        log(NOTICE_SKIPPED, origin=notice.origin, kind=notice.kind, error=error)
--- a/tests/mastickeel_router/fleet/test_broadcast.py
+++ b/tests/mastickeel_router/fleet/test_broadcast.py
@@ -6,6 +6,7 @@
 import zlib
 from collections import Counter
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
 import msgspec
 
@@ -14,6 +15,7 @@
 from mastickeel.peers import PeerTimeoutError
 from mastickeel.tasks import TaskGroup
 from mastickeel_router.fleet import Broadcast, PeerTraits
+from mastickeel_router.fleet import broadcast as broadcast_module
 from mastickeel_router.fleet.broadcast import (
     FLUSH_INTERVAL_MS,
     MAX_BATCH_BYTES,
@@ -231,6 +233,24 @@
         self.assertEqual(list(packed.unpack()), notices)
         self.assertLess(len(packed.packed), len(msgspec.msgpack.encode(notices)) / 2)
 
+    async def test_data_centre_whose_last_instance_leaves_is_passed_over(self) -> None:
+        ids = self.start_fleet(len(DATA_CENTRES))
+        self.broadcasts[ids[0]].publish(SessionRunNotice("s", "v1"))
+        del self.network.links[ids[3]]
+        await self.clock.advance(10 * FLUSH_INTERVAL_MS)
+        self.assertEqual([len(self.received[peer]) for peer in ids], [0, 1, 1, 0])
+
+    async def test_skipped_notices_are_logged_once_for_each_kind(self) -> None:
+        ids = self.start_fleet(TODAYS_FLEET)
+        body = encode_content(SessionRunNotice("s", "v1"))[1]
+        notices = [Notice("x", f"new-{number % 2}", body) for number in range(100)]
+        with patch.object(broadcast_module, "log") as log:
+            self.network.links[ids[0]].multicast(
+                ids[1:2], NoticeBatch.pack(Scope.INSTANCE, notices)
+            )
+            await self.clock.advance(0)
+        self.assertEqual(log.call_count, 2)
+
     async def test_malformed_and_oversized_batches_are_skipped(self) -> None:
         ids = self.start_fleet(TODAYS_FLEET)
         large = zlib.compress(b"\0" * (MAX_BATCH_BYTES + 1))
