--- a/bench/measure/broadcast.py
+++ b/bench/measure/broadcast.py
@@ -1,4 +1,4 @@
-"""Cost of notices between instances by the size of the fleet, relayed and sent to each peer."""
+"""Cost of notices between instances by the size of the fleet, through hubs and sent to each peer."""
 
 from __future__ import annotations
 
@@ -47,27 +47,27 @@
     seconds = QUICK_SECONDS if quick else SECONDS
     rows = []
     for size in FLEET_SIZES:
-        relayed = await _run_fleet(size, seconds, relayed=True)
-        direct = await _run_fleet(size, seconds, relayed=False)
+        batched = await _run_fleet(size, seconds, through_hubs=True)
+        direct = await _run_fleet(size, seconds, through_hubs=False)
         note = f"{size} instances, {NOTICES_PER_SECOND} notices a second each; against one by one"
         rows += [
             Measurement(
                 f"broadcast.{size}.processor_per_notice",
-                relayed.processor_ms,
+                batched.processor_ms,
                 "ms",
                 baseline=direct.processor_ms,
                 note=note,
             ),
             Measurement(
                 f"broadcast.{size}.messages_per_notice",
-                relayed.messages,
+                batched.messages,
                 "messages",
                 baseline=direct.messages,
                 note=note,
             ),
             Measurement(
                 f"broadcast.{size}.received_bytes",
-                relayed.received_bytes,
+                batched.received_bytes,
                 "B/s",
                 baseline=direct.received_bytes,
                 note=note,
@@ -76,7 +76,7 @@
     return rows
 
 
-async def _run_fleet(size: int, seconds: int, *, relayed: bool) -> _Cost:
+async def _run_fleet(size: int, seconds: int, *, through_hubs: bool) -> _Cost:
     """Publishes notices at every instance, and returns what they cost."""
     clock, tasks = Clock(), TaskGroup()
     metrics = [Metrics() for _ in range(size)]
@@ -87,7 +87,7 @@
         link.instance_id: PeerTraits(f"dc-{number % DATA_CENTRES}")
         for number, link in enumerate(links)
     }
-    known: Mapping[str, PeerTraits] = traits if relayed else {}
+    known: Mapping[str, PeerTraits] = traits if through_hubs else {}
     broadcasts = []
     try:
         for link in links:
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
@@ -1,11 +1,11 @@
-"""Broadcasts notices to all instances through one relay in each data centre.
+"""Broadcasts notices to all instances through one hub in each data centre.
 
-A notice goes to the relay of the sender's data centre. That relay passes it on to the other
-instances of the data centre and to the relays of the other data centres, which do the same. All
+A notice goes to the hub of the sender's data centre. That hub passes it on to the other
+instances of the data centre and to the hubs of the other data centres, which do the same. All
 notices that wait at an instance travel in one message, so that the number of messages depends on
 the number of instances and the flush interval, not on the number of requests.
 
-An instance relays every batch that asks for it. Senders agree on the relay by the speed of the
+An instance forwards every batch that asks for it. Senders agree on the hub by the speed of the
 links and by rendezvous hashing, and lose nothing while they disagree about it.
 """
 
@@ -35,12 +35,12 @@
 FLUSH_INTERVAL_MS = 100
 """Minimum time between two batches. Notices of an instance that has been silent for this long leave
 at once."""
-RELAY_TIMEOUT_MS = 400
-"""Time without an acknowledgement after which another relay gets the next batches."""
-MAX_RELAYS = 3
-"""Number of instances of a data centre that may be its relay."""
+HUB_TIMEOUT_MS = 400
+"""Time without an acknowledgement after which another hub gets the next batches."""
+MAX_HUBS = 3
+"""Number of instances of a data centre that may be its hub."""
 SUSPICION_MS = 5_000
-"""Time for which an instance that did not acknowledge a batch is not chosen as a relay: the entry
+"""Time for which an instance that did not acknowledge a batch is not chosen as a hub: the entry
 of an instance that has ended stays in the store for up to 12 s."""
 COMPRESSION_LEVEL = 1
 """Notices repeat names of fields, endpoints and instances; the fastest level finds these."""
@@ -51,9 +51,9 @@
 MAX_SKIPPED_KINDS = 64
 """Maximum number of kinds of notices that are logged as skipped."""
 
-RELAY_SUSPECTED = define_event(
+HUB_SUSPECTED = define_event(
     2374,
-    "relay_suspected",
+    "hub_suspected",
     "warning",
     "Another instance did not acknowledge a batch of notices; the next batches avoid it.",
 )
@@ -69,7 +69,7 @@
     """Instances to which the receiver of a batch passes the notices on."""
 
     FLEET = "fleet"
-    """Its own data centre, and the relays of the others."""
+    """Its own data centre, and the hubs of the others."""
     DATA_CENTRE = "data_centre"
     """Its own data centre."""
     INSTANCE = "instance"
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True)
 class PeerTraits:
-    """What the choice of a relay depends on."""
+    """What the choice of a hub depends on."""
 
     data_centre: str
     link_mbps: float = 0.0
@@ -127,11 +127,11 @@
 @message("notice_ack")
 @dataclass(frozen=True)
 class NoticeAck:
-    """Reply of a relay that passes a batch on."""
+    """Reply of a hub that passes a batch on."""
 
 
 class Broadcast:
-    """Sends this instance's notices to all instances, and relays those of others."""
+    """Sends this instance's notices to all instances, and forwards those of others."""
 
     def __init__(
         self,
@@ -146,7 +146,7 @@
 
         Args:
             link: Connections to the peers.
-            clock: Times the flushes and the suspicion of relays.
+            clock: Times the flushes and the suspicion of hubs.
             traits: Traits of this instance.
             traits_by_peer: Traits of the peers; kept up to date by its owner. Peers that are
                 missing get each notice in a message of its own, as they may run a version of the
@@ -203,7 +203,7 @@
         """Sends all waiting notices, in one batch for each destination."""
         own, self._own = self._own, []
         if own:
-            self._send_to_relay(self._traits.data_centre, Scope.FLEET, own)
+            self._send_to_hub(self._traits.data_centre, Scope.FLEET, own)
         for_members, self._for_data_centre = self._for_data_centre, []
         for_others, self._for_other_data_centres = self._for_other_data_centres, []
         peers_by_data_centre = self._group_peers()
@@ -212,10 +212,10 @@
             self._link.multicast(members, NoticeBatch.pack(Scope.INSTANCE, for_members))
         if for_others:
             for data_centre in peers_by_data_centre:
-                self._send_to_relay(data_centre, Scope.DATA_CENTRE, for_others)
+                self._send_to_hub(data_centre, Scope.DATA_CENTRE, for_others)
 
     def _queue(self, scope: Scope, notices: Sequence[Notice]) -> None:
-        """Adds notices that this instance relays to its next batches."""
+        """Adds notices that this instance forwards in its next batches."""
         queues = [self._for_data_centre] if scope is not Scope.INSTANCE else []
         if scope is Scope.FLEET:
             queues.append(self._for_other_data_centres)
@@ -223,53 +223,51 @@
             queue.extend(notices)
             del queue[:-MAX_WAITING_NOTICES]
 
-    def _send_to_relay(self, data_centre: str, scope: Scope, notices: list[Notice]) -> None:
-        """Sends a batch to the relay of a data centre, or queues it if this instance is the relay.
+    def _send_to_hub(self, data_centre: str, scope: Scope, notices: list[Notice]) -> None:
+        """Sends a batch to the hub of a data centre, or queues it if this instance is the hub.
 
         Args:
             data_centre: One with an instance that is known to take batches.
-            scope: Instances to which the relay passes the notices on.
+            scope: Instances to which the hub passes the notices on.
             notices: Notices of the batch.
         """
-        relay = self._rank_relays(data_centre)[0]
-        if relay == self._link.instance_id:
+        hub = self._rank_hubs(data_centre)[0]
+        if hub == self._link.instance_id:
             self._queue(scope, notices)
         else:
-            self._tasks.start(self._await_ack(relay, NoticeBatch.pack(scope, notices)))
+            self._tasks.start(self._await_ack(hub, NoticeBatch.pack(scope, notices)))
 
-    async def _await_ack(self, relay: str, batch: NoticeBatch) -> None:
-        """Sends a batch to a relay; later batches avoid the relay if it does not acknowledge.
+    async def _await_ack(self, hub: str, batch: NoticeBatch) -> None:
+        """Sends a batch to a hub; later batches avoid the hub if it does not acknowledge.
 
-        A batch without an acknowledgement is not sent again: a relay may be silent because the
+        A batch without an acknowledgement is not sent again: a hub may be silent because the
         network is full, which repeated batches would only prolong.
         """
         try:
-            await self._link.request(relay, batch, NoticeAck, RELAY_TIMEOUT_MS)
+            await self._link.request(hub, batch, NoticeAck, HUB_TIMEOUT_MS)
         except (PeerTimeoutError, PeerRefusedError) as error:
-            self._suspect(relay)
-            log(RELAY_SUSPECTED, relay=relay, bytes=len(batch.packed), error=str(error))
+            self._suspect(hub)
+            log(HUB_SUSPECTED, hub=hub, bytes=len(batch.packed), error=str(error))
 
-    def _suspect(self, relay: str) -> None:
+    def _suspect(self, hub: str) -> None:
         """Marks an instance that did not acknowledge a batch, and removes marks that are over."""
         now = self._clock.now()
         marks = {peer: end_ms for peer, end_ms in self._suspected_until_ms.items() if end_ms > now}
-        self._suspected_until_ms = {**marks, relay: now + SUSPICION_MS}
+        self._suspected_until_ms = {**marks, hub: now + SUSPICION_MS}
 
-    def _rank_relays(self, data_centre: str) -> list[str]:
-        """Returns the possible relays of a data centre in the order in which they are chosen.
+    def _rank_hubs(self, data_centre: str) -> list[str]:
+        """Returns the possible hubs of a data centre in the order in which they are chosen.
 
-        Those with the fastest link come first, as a relay sends every notice to its whole data
-        centre. Relays that did not acknowledge a recent batch come last. No other instance is
-        chosen: if the network is full, each instance would become its own relay.
+        Those with the fastest link come first, as a hub sends every notice to its whole data
+        centre. Hubs that did not acknowledge a recent batch come last. No other instance is
+        chosen: if the network is full, each instance would become its own hub.
         """
         ids = self._group_peers().get(data_centre, [])
         if data_centre == self._traits.data_centre:
             ids = [*ids, self._link.instance_id]
-        relays = sorted(rank(data_centre, ids), key=lambda peer: -self._link_mbps(peer))
+        hubs = sorted(rank(data_centre, ids), key=lambda peer: -self._link_mbps(peer))
         now = self._clock.now()
-        return sorted(
-            relays[:MAX_RELAYS], key=lambda peer: self._suspected_until_ms.get(peer, 0) > now
-        )
+        return sorted(hubs[:MAX_HUBS], key=lambda peer: self._suspected_until_ms.get(peer, 0) > now)
 
     def _link_mbps(self, peer: str) -> float:
         return self._traits_by_peer.get(peer, self._traits).link_mbps
@@ -283,7 +281,7 @@
         return peers_by_data_centre
 
     async def _accept_batch(self, sender: str, batch: NoticeBatch) -> NoticeAck:
-        """Applies the notices of a batch, and relays them as its scope says."""
+        """Applies the notices of a batch, and forwards them as its scope says."""
         try:
             notices = batch.unpack()
         except ValueError as error:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -37,7 +37,7 @@
     listen: Address
     link_mbps: float = 0.0
     """Bandwidth of the instance's network link in Mbit/s; 0 when not known. Of the instances of a
-    data centre one with the fastest link relays the notices of all."""
+    data centre one with the fastest link, its hub, forwards the notices of all."""
 
 
 @dataclass(frozen=True)
--- a/tests/mastickeel_router/fleet/test_broadcast.py
+++ b/tests/mastickeel_router/fleet/test_broadcast.py
@@ -1,4 +1,4 @@
-"""Notices reach every instance, through one relay in each data centre and few messages."""
+"""Notices reach every instance, through one hub in each data centre and few messages."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from mastickeel_router.fleet.broadcast import (
     FLUSH_INTERVAL_MS,
     MAX_BATCH_BYTES,
-    MAX_RELAYS,
+    MAX_HUBS,
     Notice,
     NoticeBatch,
     Scope,
@@ -145,9 +145,9 @@
             await self.clock.advance(interval_ms)
         await self.clock.advance(10 * FLUSH_INTERVAL_MS)
 
-    def relay_of(self, instance_id: str) -> str:
-        """Returns the relay to which an instance sends its notices."""
-        return self.broadcasts[instance_id]._rank_relays(instance_id.split("/")[0])[0]
+    def hub_of(self, instance_id: str) -> str:
+        """Returns the hub to which an instance sends its notices."""
+        return self.broadcasts[instance_id]._rank_hubs(instance_id.split("/")[0])[0]
 
     async def test_every_notice_reaches_every_other_instance_once(self) -> None:
         ids = self.start_fleet(GROWN_FLEET)
@@ -162,10 +162,10 @@
         seconds = 1
         await self.publish_everywhere(rounds=seconds * 40, interval_ms=25)
         flushes = (seconds + 1) * 1_000 // FLUSH_INTERVAL_MS
-        relays = {self.relay_of(instance_id) for instance_id in ids}
-        self.assertEqual(len(relays), len(DATA_CENTRES))
+        hubs = {self.hub_of(instance_id) for instance_id in ids}
+        self.assertEqual(len(hubs), len(DATA_CENTRES))
         for instance_id in ids:
-            most = flushes * (len(ids) if instance_id in relays else 1)
+            most = flushes * (len(ids) if instance_id in hubs else 1)
             self.assertLessEqual(self.network.sent_by_id[instance_id], most)
 
     async def test_notice_crosses_to_each_other_data_centre_once(self) -> None:
@@ -181,30 +181,30 @@
         await self.clock.advance(0)
         self.assertEqual(sum(map(len, self.received.values())), TODAYS_FLEET - 1)
 
-    async def test_notices_pass_when_relays_are_silent(self) -> None:
+    async def test_notices_pass_when_hubs_are_silent(self) -> None:
         ids = self.start_fleet(GROWN_FLEET)
-        self.network.silent = {self.relay_of(instance_id) for instance_id in ids}
+        self.network.silent = {self.hub_of(instance_id) for instance_id in ids}
         live = [instance_id for instance_id in ids if instance_id not in self.network.silent]
-        # The first round finds the silent relays of the own data centre, the second one the others.
+        # The first round finds the silent hubs of the own data centre, the second one the others.
         await self.publish_everywhere(rounds=3, interval_ms=1_000)
         for instance_id in live:
             last = {text for text in self.received[instance_id] if text.endswith(" s2")}
             self.assertEqual(len(last), len(live) - 1)
 
-    async def test_silent_relay_does_not_multiply_the_messages(self) -> None:
-        # Batches sent again to further relays filled slow links, which made more relays silent.
+    async def test_silent_hub_does_not_multiply_the_messages(self) -> None:
+        # Batches sent again to further hubs filled slow links, which made more hubs silent.
         ids = self.start_fleet(GROWN_FLEET)
         self.network.silent = set(ids)
         rounds = 20
         await self.publish_everywhere(rounds=rounds, interval_ms=FLUSH_INTERVAL_MS)
         for instance_id in ids:
             self.assertLessEqual(self.network.sent_by_id[instance_id], rounds * len(ids))
-        most = rounds * len(ids) * (2 + MAX_RELAYS)
+        most = rounds * len(ids) * (2 + MAX_HUBS)
         self.assertLessEqual(sum(self.network.sent_by_id.values()), most)
 
-    async def test_silent_relay_is_not_waited_for_again(self) -> None:
+    async def test_silent_hub_is_not_waited_for_again(self) -> None:
         ids = self.start_fleet(GROWN_FLEET)
-        self.network.silent = {self.relay_of(ids[0])}
+        self.network.silent = {self.hub_of(ids[0])}
         sender = next(peer for peer in ids[::4] if peer not in self.network.silent)
         self.broadcasts[sender].publish(SessionRunNotice("first", "v1"))
         await self.clock.advance(1_000)
@@ -220,11 +220,11 @@
         for instance_id in ids[1:]:
             self.assertEqual(self.received[instance_id], [f"{ids[0]} s"])
 
-    async def test_relay_is_an_instance_with_the_fastest_link(self) -> None:
-        # A relay with a link of 5 Mbit/s filled it with notices, and its callers waited.
+    async def test_hub_is_an_instance_with_the_fastest_link(self) -> None:
+        # A hub with a link of 5 Mbit/s filled it with notices, and its callers waited.
         fast = ("dc-a/12", "dc-b/13", "dc-c/50", "dc-d/7")
         ids = self.start_fleet(GROWN_FLEET, fast=fast)
-        self.assertEqual({self.relay_of(instance_id) for instance_id in ids}, set(fast))
+        self.assertEqual({self.hub_of(instance_id) for instance_id in ids}, set(fast))
 
     async def test_batch_is_smaller_than_its_notices(self) -> None:
         content = SessionRunNotice("f4120cd8723f", "v1")
