Stop a bad target on every instance, and do not widen its share under suspicion

Change: every instance evaluates the evidence that it has anyway; one that finds the target bad sends it no new sessions until the holder decides, while sessions on the target stay there (PINNED). A target with some evidence against it (3, where 100 reverts) is not widened. A verdict holds once it is reached.

--- a/bench/measure/broadcast.py
+++ b/bench/measure/broadcast.py
@@ -1,4 +1,4 @@
-"""Cost of notices between instances by the size of the fleet, through hubs and sent to each peer."""
+"""Cost of notices between instances by fleet size, through hubs and sent to each peer."""
 
 from __future__ import annotations
 
--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -32,6 +32,9 @@
 REVERT_EVIDENCE = 100.0
 """Evidence at which a release is reverted; a sound version reaches it with a probability of 1 in
 100."""
+SUSPECT_EVIDENCE = 3.0
+"""Evidence from which the target's share is not widened; a sound version reaches it with a
+probability of 1 in 3 at most, and loses it with further good answers."""
 ALL_ROUTES = ""
 
 
@@ -41,13 +44,21 @@
     def __init__(self) -> None:
         self.answers = 0
         """Number of the target's answers."""
+        self.evidence = 0.0
+        """Most evidence against the target on any route or over all routes."""
+        self._found_bad = False
         self._tests_by_route: dict[str, SequentialTest] = {}
         self._totals_by_route: dict[str, Block] = {}
 
     @property
     def is_bad(self) -> bool:
-        """Whether the target is significantly worse on some route or over all routes."""
-        return any(test.evidence >= REVERT_EVIDENCE for test in self._tests_by_route.values())
+        """Whether the target was significantly worse on some route or over all routes."""
+        return self._found_bad
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether there is some evidence that the target is worse on some route or over all."""
+        return self.evidence >= SUSPECT_EVIDENCE
 
     def add_totals(self, blocks_by_route: dict[str, Block]) -> None:
         """Adds the totals over all instances; tests only the increase since the last call.
@@ -66,10 +77,18 @@
             self._totals_by_route[route] = block
             self._tests_by_route.setdefault(route, SequentialTest(TOLERATED_EXCESS)).add(fresh)
         self.answers = self._totals_by_route.get(ALL_ROUTES, Block()).new
+        self.evidence = max((test.evidence for test in self._tests_by_route.values()), default=0.0)
+        self._found_bad = self._found_bad or self.evidence >= REVERT_EVIDENCE
 
 
 def advance_plan(
-    plan: ReleasePlan, order: ReleaseOrder, *, elapsed_ms: float, answers: int, is_bad: bool
+    plan: ReleasePlan,
+    order: ReleaseOrder,
+    *,
+    elapsed_ms: float,
+    answers: int,
+    is_bad: bool,
+    is_suspect: bool,
 ) -> ReleasePlan:
     """Returns the plan with its next share and state.
 
@@ -79,6 +98,7 @@
         elapsed_ms: Time since the order.
         answers: Number of the target's answers.
         is_bad: Whether the target is significantly worse than the old version.
+        is_suspect: Whether there is some evidence that it is worse; its share is then not widened.
     """
     if plan.state is not ReleaseState.RUNNING:
         return plan
@@ -86,7 +106,7 @@
         return replace(plan, state=ReleaseState.REVERTED, share=0.0)
     progress = elapsed_ms / max(1, order.duration_ms)
     share = FIRST_SHARE
-    if progress >= SECOND_SHARE_FROM and answers >= MIN_ANSWERS_TO_WIDEN:
+    if progress >= SECOND_SHARE_FROM and answers >= MIN_ANSWERS_TO_WIDEN and not is_suspect:
         share = 1.0 if progress >= FULL_SHARE_FROM else SECOND_SHARE
     share = max(share, plan.share)
     if progress >= COMPLETE_FROM and share >= 1.0:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -66,6 +66,12 @@
     "warning",
     "A release was not advanced because the store failed; retried in the next round.",
 )
+TARGET_AVOIDED = define_event(
+    2365,
+    "release_target_avoided",
+    "warning",
+    "This instance found the target bad; no new sessions go there until the holder decides.",
+)
 PLAN_UNREADABLE = define_event(
     2363, "release_plan_unreadable", "warning", "A release's plan is malformed and is ignored."
 )
@@ -106,6 +112,7 @@
         self._plans_by_service: dict[str, ReleasePlan] = {}
         self._counts_by_service: dict[str, dict[str, Block]] = {}
         self._reported_by_service: dict[str, dict[str, Block]] = {}
+        self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
         self._evidence_by_instance: dict[tuple[str, str], EvidenceReport] = {}
         self.sessions = SessionVersions(clock, session_gap_ms)
         """Latest version of each session."""
@@ -186,10 +193,13 @@
         if plan is not None and plan.state is ReleaseState.COMPLETE:
             return target or old
         share = 0.0 if plan is None else plan.share
-        if share >= 1.0:
-            return target or old
         if share <= 0.0:
             return old
+        if self._comparison(order).is_bad:
+            # The duty's holder may be lost. Sessions on the target stay there until it decides.
+            return target if pin == order.target and target else old or target
+        if share >= 1.0:
+            return target or old
         wants_target = self._wants_target(request, order, share, pin, failed)
         return target if wants_target and target else old
 
@@ -256,6 +266,23 @@
         self._leaving = True
         await self._duty.release()
 
+    def _comparison(self, order: ReleaseOrder) -> VersionComparison:
+        """Returns the comparison of the versions of an order."""
+        revision, comparison = self._comparisons_by_service.get(order.service, (0, None))
+        if comparison is None or revision != order.revision:
+            comparison = VersionComparison()
+            self._comparisons_by_service[order.service] = (order.revision, comparison)
+        return comparison
+
+    def _evaluate(self, order: ReleaseOrder) -> VersionComparison:
+        """Adds the newest evidence of all instances to the comparison of an order."""
+        comparison = self._comparison(order)
+        was_bad = comparison.is_bad
+        comparison.add_totals(self._sum_evidence(order))
+        if comparison.is_bad and not was_bad:
+            log(TARGET_AVOIDED, service=order.service, target=order.target)
+        return comparison
+
     def _plan(self, service: str) -> ReleasePlan | None:
         """Returns the plan of a service's current order; None when there is none yet."""
         plan = self._plans_by_service.get(service)
@@ -323,10 +350,11 @@
         )
 
     async def _report(self) -> None:
-        """Reports this instance's evidence of running releases whenever the evidence changes."""
+        """Evaluates the evidence of running releases, and reports this instance's if it changed."""
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
             for service in self._running():
+                self._evaluate(self._orders_by_service[service])
                 counts = dict(self._counts_by_service.get(service, {}))
                 if counts == self._reported_by_service.get(service, {}):
                     continue
@@ -340,23 +368,20 @@
 
     async def _lead_releases(self) -> None:
         """Advances each running release while this instance holds the duty."""
-        comparisons_by_revision: dict[int, VersionComparison] = {}
         while True:
             for service in self._running():
-                order = self._orders_by_service[service]
-                comparison = comparisons_by_revision.setdefault(order.revision, VersionComparison())
                 try:
-                    await self._advance_release(order, comparison)
+                    await self._advance_release(self._orders_by_service[service])
                 except StoreError as error:
                     # The next round reads and writes the plan again.
                     log(ROUND_FAILED, service=service, error=str(error))
             await self._clock.sleep(LEAD_INTERVAL_MS)
 
-    async def _advance_release(self, order: ReleaseOrder, comparison: VersionComparison) -> None:
+    async def _advance_release(self, order: ReleaseOrder) -> None:
         """Evaluates the evidence of one release and writes the plan if the plan changes."""
         key = f"{self.plans_prefix}{order.service}"
         plan = self._plan(order.service) or await self._read_plan(key, order)
-        comparison.add_totals(self._sum_evidence(order))
+        comparison = self._evaluate(order)
         began_wall_ms = plan.began_wall_ms or self._clock.wall() - self._since_order_ms(order)
         next_plan = advance_plan(
             replace(plan, began_wall_ms=began_wall_ms),
@@ -364,6 +389,7 @@
             elapsed_ms=self._elapsed_ms(order, began_wall_ms),
             answers=comparison.answers,
             is_bad=comparison.is_bad,
+            is_suspect=comparison.is_suspect,
         )
         if next_plan == plan:
             return
--- a/tests/mastickeel_router/releases/test_decision.py
+++ b/tests/mastickeel_router/releases/test_decision.py
@@ -11,6 +11,7 @@
     FULL_SHARE_FROM,
     SECOND_SHARE,
     SECOND_SHARE_FROM,
+    SUSPECT_EVIDENCE,
     VersionComparison,
     advance_plan,
 )
@@ -28,10 +29,19 @@
 
 
 def plan_at(
-    progress: float, plan: ReleasePlan = PLAN, answers: int = 100, bad: bool = False
+    progress: float,
+    plan: ReleasePlan = PLAN,
+    answers: int = 100,
+    bad: bool = False,
+    suspect: bool = False,
 ) -> ReleasePlan:
     return advance_plan(
-        plan, ORDER, elapsed_ms=progress * ORDER.duration_ms, answers=answers, is_bad=bad
+        plan,
+        ORDER,
+        elapsed_ms=progress * ORDER.duration_ms,
+        answers=answers,
+        is_bad=bad,
+        is_suspect=suspect,
     )
 
 
@@ -53,6 +63,14 @@
         self.assertEqual(plan_at(0.95, answers=0).share, FIRST_SHARE)
         self.assertIs(plan_at(0.95, answers=0).state, ReleaseState.RUNNING)
 
+    def test_share_is_not_widened_while_the_target_is_suspect(self) -> None:
+        # A target that failed on one route got half of all requests after 8 answers.
+        for progress in (SECOND_SHARE_FROM, FULL_SHARE_FROM, COMPLETE_FROM):
+            self.assertEqual(plan_at(progress, suspect=True).share, FIRST_SHARE)
+        widened = plan_at(SECOND_SHARE_FROM)
+        self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened, suspect=True).share, SECOND_SHARE)
+        self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened).share, 1.0)
+
     def test_bad_release_is_reverted_at_any_moment(self) -> None:
         for part in (0.01, 0.5, 0.99):
             plan = plan_at(part, bad=True)
@@ -107,6 +125,26 @@
         ]
         self.assertLessEqual(sum(found), 1)
 
+    def test_target_that_fails_on_one_route_is_suspect_after_a_few_answers(self) -> None:
+        comparison = VersionComparison()
+        comparison.add_totals({"a": Block(3, 2, 12, 0), "b": Block(5, 0, 20, 0)})
+        self.assertTrue(comparison.is_suspect)
+        self.assertFalse(comparison.is_bad)
+
+    def test_sound_target_is_seldom_suspect_when_its_share_is_due(self) -> None:
+        suspect = 0
+        for seed in range(100):
+            rng = random.Random(seed)
+            comparison = VersionComparison()
+            sums = {"a": Block(), "b": Block(), "c": Block()}
+            for _ in range(60):
+                route = rng.choice(list(sums))
+                new, *old = (int(rng.random() < 0.01) for _ in range(5))
+                sums[route] = sums[route].plus(Block(1, new, len(old), sum(old)))
+                comparison.add_totals(dict(sums))
+            suspect += comparison.is_suspect
+        self.assertLessEqual(suspect, 100 / SUSPECT_EVIDENCE)
+
     def test_shrinking_counts_are_ignored(self) -> None:
         comparison = VersionComparison()
         comparison.add_totals({"a": Block(10, 0, 50, 0)})
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -9,6 +9,7 @@
 import unittest
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 from tornado.httputil import HTTPHeaders
 
@@ -22,6 +23,7 @@
 from mastickeel_router.relay.policy import SendOutcome, SendResult
 from mastickeel_router.relay.types import CallerRequest, RequestHead
 from mastickeel_router.releases import EvidenceReport, ReleaseOrder, Releases
+from mastickeel_router.releases.decision import VersionComparison
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
 
@@ -29,6 +31,8 @@
 NEW = replace(OLD, id="e2", version="v2")
 ROUTE = Route("r", "h", "/", RouteKind.REPEATABLE, (Split("s", 1),), 1_000, 200)
 DURATION_MS = 20_000
+ROLLBACK_MS = 5_000
+"""Time after which a bad version gets no requests, as the platform's bounds state."""
 
 
 def request(name: str, session: str = "") -> CallerRequest:
@@ -216,6 +220,37 @@
             instance.releases.retain_orders(set())
             self.assertEqual({instance.choose(f"r{number}") for number in range(100)}, {"v1"})
 
+    async def test_bad_target_gets_no_new_requests_while_nobody_holds_the_duty(self) -> None:
+        self.order()
+        await self.run_for(4_000)
+        holder = (await self.store.range("/m/duties/")).items[0].value.decode()
+        leader = next(instance for instance in self.instances if instance.name == holder)
+        leader.kill()
+        self.instances.remove(leader)
+        for instance in self.instances:
+            instance.releases._leaving = True
+        await self.run_for(ROLLBACK_MS, bad=True)
+        self.assertEqual(await self.state(), "running")
+        versions = {
+            instance.choose(f"late-{number}")
+            for instance in self.instances
+            for number in range(200)
+        }
+        self.assertEqual(versions, {"v1"})
+
+    async def test_session_on_the_target_stays_there_when_its_instance_suspects_the_target(
+        self,
+    ) -> None:
+        self.order()
+        await self.run_for(4_000)
+        sessions = [f"new-{number}" for number in range(100)]
+        on_target = [name for name in sessions if self.instances[0].choose("a", name) == "v2"]
+        self.assertTrue(on_target)
+        with patch.object(VersionComparison, "is_bad", True):
+            again = {self.instances[0].choose("b", name) for name in on_target}
+            new = {self.instances[0].choose(f"c{number}") for number in range(100)}
+        self.assertEqual((again, new), ({"v2"}, {"v1"}))
+
     async def test_killed_holder_is_replaced_and_the_release_completes(self) -> None:
         self.order()
         await self.run_for(4_000)
