Keep only the proof of a content that has completed

Cause: each replica kept a state of about 786 bytes for every content that ever ran, with sets and dicts that are empty once it has completed; up to 20,000 of them. Change: a completed content keeps its proof alone (202 bytes); a state lives while a permit or a crash does.

--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/replica.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/replica.py
@@ -124,14 +124,12 @@
 
 @dataclass
 class ContentState:
-    """State of one content."""
+    """State of a content that runs without proof or has crashed an endpoint."""
 
     account_id: str
     crashes: set[Crash] = field(default_factory=set)
     expiry_ms_by_permit: dict[str, int] = field(default_factory=dict)
     """Expiry times of the permits of running sends, by permit id."""
-    proven_until_ms_by_version: dict[str, int] = field(default_factory=dict)
-    """End of the permission to run without permits, by version id."""
 
     @property
     def refused_until_wall_ms(self) -> int:
@@ -150,17 +148,17 @@
         """
         self.states_by_fingerprint: dict[int, ContentState] = {}
         """Content states, the least recently used first."""
+        self._proofs_by_fingerprint: dict[int, tuple[tuple[str, int], ...]] = {}
         self._clock = clock
 
     async def on_permit_request(self, sender: str, request: PermitRequest) -> PermitReply:
         """Grants or denies a permit to send a content."""
+        if self.is_proven(request.fingerprint, request.version_id):
+            return PermitReply(Verdict.GRANTED)
         state = self._state_of(request.fingerprint, request.account_id)
         now = self._clock.now()
         if state.refused_until_wall_ms:
             return PermitReply(Verdict.QUARANTINED, tuple(state.crashes))
-        proven = state.proven_until_ms_by_version.get(request.version_id, 0) > now
-        if proven and not state.crashes:
-            return PermitReply(Verdict.GRANTED)
         if any(permit != request.permit for permit in state.expiry_ms_by_permit):
             return PermitReply(Verdict.BUSY, tuple(state.crashes))
         state.expiry_ms_by_permit[request.permit] = now + PERMIT_TTL_MS
@@ -174,22 +172,38 @@
         """Releases a permit, and marks the content as proven if it completed."""
         state = self.states_by_fingerprint.get(notice.fingerprint)
         if state is None:
+            if notice.finished and self.is_proven(notice.fingerprint, notice.version_id):
+                self._add_proof(notice.fingerprint, notice.version_id)
             return
         state.expiry_ms_by_permit.pop(notice.permit, None)
+        if state.crashes:
+            return
         if notice.finished:
-            state.proven_until_ms_by_version[notice.version_id] = self._clock.now() + PROOF_TTL_MS
+            self._add_proof(notice.fingerprint, notice.version_id)
+        if not state.expiry_ms_by_permit:
+            del self.states_by_fingerprint[notice.fingerprint]
+
+    def is_proven(self, fingerprint: int, version_id: str) -> bool:
+        """Returns whether a content has completed on a version without a crash since."""
+        now = self._clock.now()
+        return any(
+            version == version_id and until_ms > now
+            for version, until_ms in self._proofs_by_fingerprint.get(fingerprint, ())
+        )
 
     async def on_crash_report(self, sender: str, report: CrashReport) -> CrashReportReply:
         """Records crashes; known crashes are not counted again."""
         state = self._state_of(report.fingerprint, report.account_id)
         state.expiry_ms_by_permit.pop(report.permit, None)
-        state.proven_until_ms_by_version.clear()
+        self._proofs_by_fingerprint.pop(report.fingerprint, None)
         state.crashes |= set(report.crashes)
         return CrashReportReply(len(state.crashes))
 
     async def on_clear_request(self, sender: str, request: ClearRequest) -> ClearReply:
         """Clears the state of a content."""
-        return ClearReply(self.states_by_fingerprint.pop(request.fingerprint, None) is not None)
+        proofs = self._proofs_by_fingerprint.pop(request.fingerprint, None)
+        state = self.states_by_fingerprint.pop(request.fingerprint, None)
+        return ClearReply(proofs is not None or state is not None)
 
     def suspects(self) -> dict[int, ContentState]:
         """Returns the contents with recent crashes, by fingerprint."""
@@ -201,6 +215,18 @@
             if state.crashes
         }
 
+    def _add_proof(self, fingerprint: int, version_id: str) -> None:
+        """Records that a content has completed on a version; bounds the number of proofs."""
+        now = self._clock.now()
+        others = (
+            (version, until_ms)
+            for version, until_ms in self._proofs_by_fingerprint.pop(fingerprint, ())
+            if version != version_id and until_ms > now
+        )
+        self._proofs_by_fingerprint[fingerprint] = (*others, (version_id, now + PROOF_TTL_MS))
+        if len(self._proofs_by_fingerprint) > MAX_CONTENTS:
+            del self._proofs_by_fingerprint[next(iter(self._proofs_by_fingerprint))]
+
     def _state_of(self, fingerprint: int, account_id: str) -> ContentState:
         """Returns the state of a content, with expired entries removed."""
         state = self.states_by_fingerprint.pop(fingerprint, None) or ContentState(account_id)
--- a/tests/mastickeel_router/quarantine/test_quarantine.py
+++ b/tests/mastickeel_router/quarantine/test_quarantine.py
@@ -18,6 +18,7 @@
 from mastickeel_router.quarantine.replica import (
     CRASH_TTL_MS,
     PERMIT_TTL_MS,
+    PROOF_TTL_MS,
     Crash,
     CrashReport,
     PermitReleaseNotice,
@@ -78,6 +79,30 @@
             [await self.request_permit("c"), await self.request_permit("d")], ["granted", "busy"]
         )
 
+    async def test_completed_content_keeps_its_proof_and_no_state(self) -> None:
+        await self.request_permit("a")
+        self.replica.release(PermitReleaseNotice(1, "a", "v", finished=True))
+        self.assertEqual(self.replica.states_by_fingerprint, {})
+        await self.clock.advance(PROOF_TTL_MS - 1)
+        self.assertEqual(await self.request_permit("b"), Verdict.GRANTED)
+        self.replica.release(PermitReleaseNotice(1, "b", "v", finished=True))
+        await self.clock.advance(PROOF_TTL_MS - 1)
+        self.assertEqual(
+            [await self.request_permit(permit) for permit in "cd"], [Verdict.GRANTED] * 2
+        )
+        await self.clock.advance(1)
+        self.assertEqual(
+            [await self.request_permit(permit) for permit in "ef"], [Verdict.GRANTED, Verdict.BUSY]
+        )
+
+    async def test_run_that_completes_after_a_crash_proves_nothing(self) -> None:
+        for permit in "ab":
+            await self.request_permit("a")
+            self.replica.release(PermitReleaseNotice(1, permit, "v", finished=True))
+        await self.report_crash("b", "engine-1")
+        self.replica.release(PermitReleaseNotice(1, "a", "v", finished=True))
+        self.assertFalse(self.replica.is_proven(1, "v"))
+
     async def test_quarantine_expires(self) -> None:
         for permit in "ab":
             await self.request_permit(permit)
@@ -204,9 +229,8 @@
         async with self.guards_by_id[self.ranked[4]].guard(make_request(0), "v", endpoint):
             pass
         await asyncio.sleep(0.1)
-        (state,) = late_replica.states_by_fingerprint.values()
-        self.assertEqual(state.expiry_ms_by_permit, {})
-        self.assertGreater(state.proven_until_ms_by_version["v"], self.nodes.clock.now())
+        self.assertEqual(late_replica.states_by_fingerprint, {})
+        self.assertTrue(late_replica.is_proven(compute_fingerprint(make_request(0)), "v"))
 
     async def test_two_replicas_with_one_different_crash_each_refuse_together(self) -> None:
         for number, node_id in enumerate(self.ranked[:2]):
