Stand-in network: send the bytes that a peer link hands it

Since the broadcast a link encodes a message once and hands its bytes to _send_to; the stand-in of the link for faked networks still encoded what it got, so that 46 tests of configuration and membership failed.

--- a/packages/mastickeel_standins/src/mastickeel_standins/direct.py
+++ b/packages/mastickeel_standins/src/mastickeel_standins/direct.py
@@ -315,10 +315,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _send_to(self, peer_id: str, content: Any, sent_id: int) -> None:
+    def _send_to(self, peer_id: str, data: bytes, sent_id: int) -> None:
         address = self._addresses_by_peer.get(peer_id)
         if address is not None:
-            self._network.send(self, address.port, self._pack(content, sent_id, 0))
+            self._network.send(self, address.port, data)
 
     def _send(self, socket: Any, frames: list[bytes]) -> None:
         self._network.send(self, socket.link.port, frames[-1])
