--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -23,7 +23,8 @@
 """Less than half of the two seconds within which a change must be in force after an outage."""
 WATCH_BATCH_INTERVAL_MS = 200
 """Time without a poll after one that returned changes; the changes of this time arrive together
-with the next poll. A tenth of the two seconds within which a change must be in force."""
+with the next poll. A tenth of the shortest time within which a change must be in force, two
+seconds."""
 
 HISTORY_LOST = define_event(
     2310,
--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -14,7 +14,8 @@
     from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan
 
 FIRST_SHARE = 0.25
-"""Initial share of the target: keeps a bad target below its limit of 0.15 of all requests."""
+"""Initial share of the target. Deployments allow a bad target 0.0975 to 0.15 of all requests of a
+release, so that it has to be found within the first part of the release."""
 SECOND_SHARE = 0.5
 """Second share of the target: loads the endpoints of both versions alike while both are present."""
 SECOND_SHARE_FROM = 0.3
