Log and count the rate limits that endpoints name

Change: the limit in an answer's head is read and kept for each endpoint and its process; answers without one lift it. endpoint_limited and endpoint_limit_lifted are logged, request_placed has rate_limit, the gauge endpoints_limited is on the metrics page, mastickeelctl trace shows the limit of each endpoint tried. Nothing acts on a limit yet. The catalogue of events now includes those that the platform's package defines, which the test did not load before.

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -23,6 +23,8 @@
     "endpoint_kept": ("endpoint", "endpoint"),
     "endpoint_paused": ("breaker", "endpoint"),
     "endpoint_trusted": ("breaker", "endpoint"),
+    "endpoint_limited": ("limit", "endpoint"),
+    "endpoint_limit_lifted": ("limit", "endpoint"),
     "release_plan": ("release", "service"),
     "stopping": ("process", ""),
     "started": ("process", ""),
@@ -84,7 +86,7 @@
         subjects = [("process", ""), ("store", ""), ("configuration", "")]
         subjects.append(("release", str(record.get("service", ""))))
         for endpoint_id in dict.fromkeys(record.get("endpoints") or ()):
-            subjects += [("endpoint", endpoint_id), ("breaker", endpoint_id)]
+            subjects += [(kind, endpoint_id) for kind in ("endpoint", "breaker", "limit")]
         return [newest for subject in subjects if (newest := self._newest_by_subject.get(subject))]
 
 
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -34,6 +34,7 @@
 from mastickeel_router.gateway.pages import Page, PageListener
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.quarantine.reports import CrashReports
+from mastickeel_router.ratelimits import EndpointLimits
 from mastickeel_router.relay import CallerListener, Dispatcher
 from mastickeel_router.relay.budget import RetryBudget
 from mastickeel_router.relay.context import Context
@@ -124,6 +125,8 @@
         """Retry budget."""
         self.crashes = CrashReports(clock, self._runs_trial)
         """Request contents that crashed endpoints."""
+        self.limits = EndpointLimits(clock)
+        """Rate limits that endpoints have named."""
         self.stopping = False
         """Whether a drain has begun."""
         self.callers_port = 0
@@ -149,6 +152,7 @@
         self._peer_metrics = Metrics()
         self._link, self._instances = self._make_fleet()
         self.registry.on_lifetime_end.append(self.loads.reset_endpoint)
+        self.registry.on_lifetime_end.append(self.limits.reset_endpoint)
         self.table.on_change.append(
             lambda configuration: self._listener.apply_limits(configuration.limits)
         )
@@ -303,6 +307,7 @@
             loads=self.loads,
             budget=self.budget,
             crashes=self.crashes,
+            limits=self.limits,
             tasks=self._tasks,
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
@@ -323,6 +328,9 @@
             "open_requests", "Requests under way", lambda: self._listener.open_requests
         )
         metrics.add_gauge("endpoints", "Endpoints known", lambda: len(self.registry.all()))
+        metrics.add_gauge(
+            "endpoints_limited", "Endpoints that name a rate limit", lambda: self.limits.count
+        )
         metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
         metrics.add_gauge(
             "routes_version",
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -0,0 +1,145 @@
+"""Tracks the rate limits that endpoints name in their answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mastickeel.events import define_event
+from mastickeel.logs import log
+from mastickeel.peers import message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mastickeel.clock import Clock
+    from mastickeel_router.discovery import EndpointRecord
+    from mastickeel_router.relay.types import AnswerHead
+
+LIFT_HOLD_MS = 500
+"""Time after an answer that names a limit during which answers without one do not lift it: answers
+of other connections may have been written before it."""
+RENOTIFY_INTERVAL_MS = 1_000
+"""Minimum interval of notices about a limit that has not changed, for instances that have missed
+the earlier ones."""
+
+LIMIT_NAMED = define_event(
+    2390, "endpoint_limited", "warning", "An endpoint accepts only this many requests a second."
+)
+LIMIT_LIFTED = define_event(
+    2391, "endpoint_limit_lifted", "info", "An endpoint no longer limits its requests."
+)
+
+
+@message("endpoint_limit")
+@dataclass(frozen=True)
+class EndpointLimitNotice:
+    """Notification to peers that an endpoint has named a rate limit, or names none any more."""
+
+    endpoint: str
+    started_ms: int
+    """Unix time of the endpoint's start; limits end with the endpoint's process."""
+    per_second: float | None
+    """Requests a second from all instances; None when the limit is lifted."""
+
+
+@dataclass(frozen=True)
+class _Limit:
+    """Newest limit of one endpoint."""
+
+    per_second: float
+    started_ms: int
+    named_ms: int
+    """Clock time at which this instance last learned of the limit."""
+    notified_ms: int
+    """Clock time of the last notice from this instance to its peers."""
+
+
+class EndpointLimits:
+    """The rate limits in force, by endpoint."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Creates the tracker without limits.
+
+        Args:
+            clock: Times the observations.
+        """
+        self.on_notice: list[Callable[[EndpointLimitNotice], None]] = []
+        """Callbacks for limits that an answer to this instance has named or lifted."""
+        self._clock = clock
+        self._limits_by_id: dict[str, _Limit] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of endpoints with a limit."""
+        return len(self._limits_by_id)
+
+    def limit_of(self, endpoint: EndpointRecord) -> float | None:
+        """Returns the requests a second that an endpoint accepts; None without a limit."""
+        limit = self._limits_by_id.get(endpoint.id)
+        if limit is None or limit.started_ms != endpoint.started_ms:
+            return None
+        return limit.per_second
+
+    def record_answer(self, endpoint: EndpointRecord, head: AnswerHead, sent_ms: int) -> None:
+        """Records what an answer's head says about the endpoint's limit.
+
+        Args:
+            endpoint: The endpoint to which the request was sent.
+            head: The head of the answer.
+            sent_ms: Clock time at which the request was sent.
+        """
+        if head.status == 421:
+            # Another endpoint has answered at this address.
+            return
+        if head.rate_limit is not None:
+            self._record_named(endpoint.id, endpoint.started_ms, head.rate_limit, notify=True)
+            return
+        limit = self._limits_by_id.get(endpoint.id)
+        # The answer to a request that was sent before the limit was named may be older than it.
+        if limit is not None and head.signed and sent_ms > limit.named_ms:
+            self._lift(endpoint.id, endpoint.started_ms, notify=True)
+
+    def apply_notice(self, notice: EndpointLimitNotice) -> None:
+        """Records what another instance has learned about an endpoint's limit."""
+        if notice.per_second is None:
+            self._lift(notice.endpoint, notice.started_ms, notify=False)
+        else:
+            self._record_named(notice.endpoint, notice.started_ms, notice.per_second, notify=False)
+
+    def reset_endpoint(self, endpoint_id: str) -> None:
+        """Removes the limit of an endpoint that has ended or restarted."""
+        self._limits_by_id.pop(endpoint_id, None)
+
+    def _record_named(
+        self, endpoint_id: str, started_ms: int, per_second: float, *, notify: bool
+    ) -> None:
+        known = self._limits_by_id.get(endpoint_id)
+        if known is not None and known.started_ms > started_ms:
+            return
+        now = self._clock.now()
+        changed = known is None or (known.per_second, known.started_ms) != (per_second, started_ms)
+        if changed:
+            log(LIMIT_NAMED, endpoint=endpoint_id, per_second=per_second, own=notify)
+        notified_ms = now if known is None or changed else known.notified_ms
+        notify = notify and (changed or now - notified_ms >= RENOTIFY_INTERVAL_MS)
+        self._limits_by_id[endpoint_id] = _Limit(
+            per_second, started_ms, now, now if notify else notified_ms
+        )
+        if notify:
+            self._notify(EndpointLimitNotice(endpoint_id, started_ms, per_second))
+
+    def _lift(self, endpoint_id: str, started_ms: int, *, notify: bool) -> None:
+        limit = self._limits_by_id.get(endpoint_id)
+        if limit is None or limit.started_ms != started_ms:
+            return
+        if self._clock.now() - limit.named_ms < LIFT_HOLD_MS:
+            return
+        del self._limits_by_id[endpoint_id]
+        log(LIMIT_LIFTED, endpoint=endpoint_id, per_second=limit.per_second, own=notify)
+        if notify:
+            self._notify(EndpointLimitNotice(endpoint_id, started_ms, None))
+
+    def _notify(self, notice: EndpointLimitNotice) -> None:
+        for callback in self.on_notice:
+            callback(notice)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -17,6 +17,7 @@
     from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
+    from mastickeel_router.ratelimits import EndpointLimits
     from mastickeel_router.relay.budget import RetryBudget
     from mastickeel_router.relay.policy import SendResult
     from mastickeel_router.relay.types import CallerRequest, Dialect
@@ -92,6 +93,8 @@
     budget: RetryBudget
     crashes: CrashReports
     """Reports of contents that crash endpoints; refuses such contents."""
+    limits: EndpointLimits
+    """Rate limits that endpoints have named."""
     tasks: TaskGroup
     """Task group of the background work beside requests."""
     select_endpoints: EndpointSelector
--- a/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
@@ -70,6 +70,7 @@
             endpoint_version=endpoint.version,
             backlog_ms=round(loads.backlog_ms([endpoint])),
             held_tokens=loads.cached_tokens(endpoint.id, demand, self._cascade.model),
+            rate_limit=self._context.limits.limit_of(endpoint),
         )
 
     def log_end(self, event: Event, **fields: object) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -241,6 +241,7 @@
             responder=self._responder,
             progress=progress,
             accept_head=self._accept_answer,
+            observe_head=lambda head: context.limits.record_answer(endpoint, head, start_ms),
         )
         demand = self._cascade.demand
         self._log.predicted_wait_ms = context.loads.predict_first_event_ms(
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -126,6 +126,7 @@
         responder: Responder,
         progress: Progress,
         accept_head: Callable[[AnswerHead], bool],
+        observe_head: Callable[[AnswerHead], None],
     ) -> None:
         """Creates a collector for one send.
 
@@ -136,6 +137,7 @@
             responder: Writes a stream's events to the caller.
             progress: Progress of the request; updated as the answer arrives.
             accept_head: Tells from a stream's head whether to forward the answer.
+            observe_head: Called with the head of each answer to this request.
         """
         self.head: AnswerHead | None = None
         """Status and headers of the answer; None until they arrive."""
@@ -147,6 +149,7 @@
         self._responder = responder
         self._progress = progress
         self._accept_head = accept_head
+        self._observe_head = observe_head
         self._parts: list[bytes] = []
         self._received = 0
         self._splitter = EventSplitter()
@@ -177,6 +180,7 @@
         if head.request_id and head.request_id != self._request.id:
             raise ForeignAnswerError(f"The answer names {head.request_id}, not {self._request.id}.")
         self.head = head
+        self._observe_head(head)
         if self._is_forwarded and not self._progress.head_forwarded and not self._accept_head(head):
             raise AnswerDroppedError()
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -118,6 +118,8 @@
     """Whether the endpoint closes the connection after the answer."""
     confidence: int | None = None
     """Confidence of the model in its answer, 0 to 100; None when not reported."""
+    rate_limit: float | None = None
+    """Requests a second that the endpoint accepts from all instances; None when it names none."""
 
 
 @dataclass(frozen=True)
--- a/tests/mastickeel/test_events.py
+++ b/tests/mastickeel/test_events.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import mastickeel
+import mastickeel_platform
 import mastickeel_router
 from mastickeel.events import define_event, events_by_number
 
@@ -16,7 +17,7 @@
 
 def import_all() -> None:
     """Imports all modules, so that all events are defined."""
-    for package in (mastickeel, mastickeel_router):
+    for package in (mastickeel, mastickeel_platform, mastickeel_router):
         for module in pkgutil.walk_packages(package.__path__, f"{package.__name__}."):
             importlib.import_module(module.name)
 
--- a/tests/mastickeel_platform/test_translation.py
+++ b/tests/mastickeel_platform/test_translation.py
@@ -102,6 +102,15 @@
         self.assertNotIn("Content-Length", answer.headers)
         self.assertEqual(answer.headers["Server-Seal"], "s")
 
+    def test_rate_limit(self) -> None:
+        values = {"1.6": 1.6, "0": 0.0, "20": 20.0}
+        malformed = ("", "-1", "nan", "inf", "1e999", "2 a second", "1,2", "\u00b2")
+        for text, expected in (values | dict.fromkeys(malformed)).items():
+            with self.subTest(text=text):
+                headers = HTTPHeaders({"Server-Limit": text})
+                self.assertEqual(read_answer(HttpHead(200, headers)).rate_limit, expected)
+        self.assertIsNone(read_answer(HttpHead(200, HTTPHeaders())).rate_limit)
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_all_fields(self) -> None:
