--- a/tests/mastickeel_platform/gateway_case.py
+++ b/tests/mastickeel_platform/gateway_case.py
@@ -48,6 +48,10 @@
 [logs]
 level = "error"
 """
+PEERS = """
+[peers]
+listen = "127.0.0.1:0"
+"""
 WAIT_POLLS = 400
 WAIT_POLL_S = 0.02
 
@@ -108,3 +112,40 @@
     def received_requests(self) -> list[Request]:
         """Returns all requests that reached an endpoint."""
         return [request for endpoint in self.endpoints for request in endpoint.requests]
+
+
+class FleetTestCase(GatewayTestCase):
+    """Several gateways with one store."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.gateways: list[Gateway] = []
+
+    async def asyncTearDown(self) -> None:
+        for gateway in self.gateways:
+            await gateway.stop()
+        await super().asyncTearDown()
+
+    async def start_fleet(self, count: int) -> None:
+        """Starts gateways and waits until each knows the others."""
+        for number in range(1, count + 1):
+            await self.add_gateway(number)
+        await self.wait_until(
+            lambda: all(len(self.peer_ids(gateway)) == count - 1 for gateway in self.gateways)
+        )
+
+    async def add_gateway(self, number: int) -> Gateway:
+        """Starts one gateway, named edge-`number`."""
+        text = SETTINGS.format(port=self.store.server.port).replace("edge-1", f"edge-{number}")
+        settings = parse(text + PEERS)
+        gateway = Gateway(
+            settings, Clock(), lambda client: make_deployment(client, settings), seed=number
+        )
+        self.gateways.append(gateway)
+        await gateway.start()
+        return gateway
+
+    def peer_ids(self, gateway: Gateway) -> tuple[str, ...]:
+        """Returns the ids of the instances that a gateway knows."""
+        link: Any = gateway._link
+        return tuple(link.peer_ids)
--- a/tests/mastickeel_platform/test_fleet.py
+++ b/tests/mastickeel_platform/test_fleet.py
@@ -6,23 +6,18 @@
 from typing import TYPE_CHECKING, Any
 from unittest.mock import patch
 
-from mastickeel.clock import Clock
-from mastickeel_platform.deployment import make_deployment
-from mastickeel_router.gateway import Gateway, parse
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.reports import REFUSED_AFTER_CRASHES
 from mastickeel_router.releases import EvidenceReport
 from mastickeel_router.sequential import Block
-from tests.mastickeel_platform.gateway_case import SETTINGS, GatewayTestCase
+from tests.mastickeel_platform.gateway_case import FleetTestCase
 from tests.mastickeel_platform.standins import Request, answer_bytes, call, request_bytes
 
 if TYPE_CHECKING:
     import asyncio
 
-PEERS = """
-[peers]
-listen = "127.0.0.1:0"
-"""
+    from mastickeel_router.gateway import Gateway
+
 CONTENT = 7
 GATEWAY_COUNT = 3
 NOTICE_COUNT = 10
@@ -32,37 +27,13 @@
     writer.write(answer_bytes(request))
 
 
-class FleetTest(GatewayTestCase):
+class FleetTest(FleetTestCase):
     """Three gateways with one store and one endpoint."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.gateways: list[Gateway] = []
         await self.add_endpoint(respond)
-        for number in range(1, GATEWAY_COUNT + 1):
-            await self.add_gateway(number)
-        await self.wait_until(
-            lambda: all(len(self.peer_ids(gateway)) == 2 for gateway in self.gateways)
-        )
-
-    async def asyncTearDown(self) -> None:
-        for gateway in self.gateways:
-            await gateway.stop()
-        await super().asyncTearDown()
-
-    async def add_gateway(self, number: int) -> Gateway:
-        text = SETTINGS.format(port=self.store.server.port).replace("edge-1", f"edge-{number}")
-        settings = parse(text + PEERS)
-        gateway = Gateway(
-            settings, Clock(), lambda client: make_deployment(client, settings), seed=number
-        )
-        self.gateways.append(gateway)
-        await gateway.start()
-        return gateway
-
-    def peer_ids(self, gateway: Gateway) -> tuple[str, ...]:
-        link: Any = gateway._link
-        return tuple(link.peer_ids)
+        await self.start_fleet(GATEWAY_COUNT)
 
     def refuses(self, gateway: Gateway) -> bool:
         """Returns whether a gateway refuses the content."""
