Keep the rate limits that endpoints name, summed over all instances

Cause: nothing read the limit, so an endpoint in need was placed like any other. Class: an allowance of the whole fleet that no single instance can keep by itself. A bucket on each instance, as a first remedy, has the same fault.

Change: a limit is told to all instances. One instance schedules the sends to a limited endpoint, the first of its rendezvous ranking; a send needs its permit. The second one issues at half the rate for those that cannot reach the first, nobody else does, and peers that left the directory are ranked for 15 s more. Requests wait in turn while they can be answered in their objective, and are refused at once with the time of the next token otherwise.

Why it works: with both issuers active the sum is one and a half times the limit and four tokens, which is what the platform accepts; a schedule starts empty, so a new issuer adds nothing.

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -73,12 +73,18 @@
         """Returns the newest record about a subject; None when there is none."""
         return self._newest_by_subject.get((kind, subject_id))
 
+    def newest_of_kind(self, kind: str) -> list[Record]:
+        """Returns the newest record about each subject of a kind."""
+        return [
+            record for (of_kind, _), record in self._newest_by_subject.items() if of_kind == kind
+        ]
+
     def newest_of_service(self, service: str) -> list[Record]:
         """Returns the newest record about each endpoint of a service."""
         return [
             record
-            for (kind, _), record in self._newest_by_subject.items()
-            if kind == "endpoint" and record.get("service", service) == service
+            for record in self.newest_of_kind("endpoint")
+            if record.get("service", service) == service
         ]
 
     def newest_related(self, record: Record) -> list[Record]:
@@ -173,6 +179,8 @@
         )
     if code == "content_refused":
         return "The content had crashed endpoints before; see the crash_reported events."
+    if code == "endpoints_limited":
+        return f"Every endpoint's rate limit was used up: {_describe_limits(state)}."
     if sends:
         return f"{code}: {_describe_sends(sends, state)}"
     if code == "deadline":
@@ -236,6 +244,16 @@
     return "; ".join(parts) + "."
 
 
+def _describe_limits(state: InstanceState) -> str:
+    """Lists the rate limits in force, by endpoint."""
+    limits = [
+        f"{record['endpoint']} {record['per_second']} a second since {record['timestamp']}"
+        for record in state.newest_of_kind("limit")
+        if record["event"] == "endpoint_limited"
+    ]
+    return "; ".join(limits) or "none logged here"
+
+
 def _explain_unavailable(end: Record, state: InstanceState) -> str:
     """Explains why no endpoint was available for a request."""
     process, store = state.newest("process"), state.newest("store")
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -3,8 +3,10 @@
 from mastickeel_router.fleet.broadcast import Broadcast, PeerTraits
 from mastickeel_router.fleet.instances import InstanceDirectory
 from mastickeel_router.fleet.sharing import (
+    serve_permits,
     share_crashes,
     share_evidence,
+    share_limits,
     share_loads,
     share_sessions,
 )
@@ -13,8 +15,10 @@
     "Broadcast",
     "InstanceDirectory",
     "PeerTraits",
+    "serve_permits",
     "share_crashes",
     "share_evidence",
+    "share_limits",
     "share_loads",
     "share_sessions",
 ]
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -30,6 +30,10 @@
 """Interval of retries while the store does not answer; no request waits for the notifications of
 peers, which are only hints."""
 
+RECENT_MS = 15_000
+"""Time for which a removed peer is still counted among the recent ones: above the lease, so that
+all instances forget a peer only after each of them has lost it."""
+
 PEER_FOUND = define_event(2370, "peer_found", "info", "Another instance registered itself.")
 PEER_REMOVED = define_event(
     2371, "peer_gone", "info", "Another instance's entry was removed or is malformed."
@@ -81,10 +85,22 @@
         """Prefix of the keys of entries."""
         self.traits_by_peer: dict[str, PeerTraits] = {}
         """Traits of the peers, as far as their entries name them."""
+        self._removed_ms_by_peer: dict[str, int] = {}
         self._host = host
         self._traits = traits
         self._clock = clock
 
+    @property
+    def recent_peer_ids(self) -> tuple[str, ...]:
+        """The ids of the peers in the directory, and of those removed a short time ago."""
+        oldest_ms = self._clock.now() - RECENT_MS
+        self._removed_ms_by_peer = {
+            peer_id: at_ms
+            for peer_id, at_ms in self._removed_ms_by_peer.items()
+            if at_ms > oldest_ms
+        }
+        return (*self._link.peer_ids, *self._removed_ms_by_peer)
+
     async def keep_registered(self) -> None:
         """Writes this instance's entry and renews its lease until cancelled."""
         while True:
@@ -130,6 +146,7 @@
             log(PEER_REMOVED, peer=peer_id, error=str(error))
             return
         log(PEER_FOUND, peer=peer_id, address=str(address), revision=item.mod_revision)
+        self._removed_ms_by_peer.pop(peer_id, None)
         self._link.connect(peer_id, address)
         if entry.data_centre:
             self.traits_by_peer[peer_id] = PeerTraits(entry.data_centre, entry.link_mbps)
@@ -137,6 +154,8 @@
     def _remove_entry(self, key: str) -> None:
         peer_id = key.removeprefix(self.entries_prefix)
         log(PEER_REMOVED, peer=peer_id)
+        if peer_id in self._link.peer_ids:
+            self._removed_ms_by_peer[peer_id] = self._clock.now()
         self.traits_by_peer.pop(peer_id, None)
         self._link.disconnect(peer_id)
 
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -1,4 +1,5 @@
-"""Notifications between instances: work sent to engines, release evidence, sessions and crashes.
+"""Notifications between instances: work sent to engines, release evidence, sessions, crashes and
+rate limits.
 
 Lost or late messages lead to a worse placement or a later decision, never to a wrong answer.
 """
@@ -11,14 +12,17 @@
 from mastickeel.peers import message
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.reports import ContentCrashReport, ContentSuccessNotice
+from mastickeel_router.ratelimits import EndpointLimitNotice, PermitReply, PermitRequest
 from mastickeel_router.releases import EvidenceReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mastickeel.peers import PeerLink
     from mastickeel_router.fleet.broadcast import Broadcast
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
+    from mastickeel_router.ratelimits import EndpointLimits, PermitIssuer
     from mastickeel_router.releases import Releases, SessionVersions
 
 
@@ -79,3 +83,31 @@
     broadcast.register_handler(
         ContentSuccessNotice, lambda sender, notice: reports.apply_success(notice)
     )
+
+
+def share_limits(
+    broadcast: Broadcast, limits: EndpointLimits, is_listed: Callable[[str], bool]
+) -> None:
+    """Sends the limits that endpoints name to the peers and applies those that peers have seen.
+
+    Args:
+        broadcast: Sends notices to the peers.
+        limits: The limits that this instance knows.
+        is_listed: Tells by id whether an endpoint is listed; limits of others are ignored.
+    """
+
+    def apply(sender: str, notice: EndpointLimitNotice) -> None:
+        if is_listed(notice.endpoint):
+            limits.apply_notice(notice)
+
+    limits.on_notice.append(broadcast.publish)
+    broadcast.register_handler(EndpointLimitNotice, apply)
+
+
+def serve_permits(link: PeerLink, issuer: PermitIssuer) -> None:
+    """Answers the peers' requests for permits."""
+
+    async def issue(sender: str, request: PermitRequest) -> PermitReply:
+        return issuer.issue(request)
+
+    link.register_handler(PermitRequest, issue)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -24,8 +24,10 @@
     Broadcast,
     InstanceDirectory,
     PeerTraits,
+    serve_permits,
     share_crashes,
     share_evidence,
+    share_limits,
     share_loads,
     share_sessions,
 )
@@ -34,7 +36,7 @@
 from mastickeel_router.gateway.pages import Page, PageListener
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.quarantine.reports import CrashReports
-from mastickeel_router.ratelimits import EndpointLimits
+from mastickeel_router.ratelimits import EndpointLimits, PermitIssuer, SendPermits
 from mastickeel_router.relay import CallerListener, Dispatcher
 from mastickeel_router.relay.budget import RetryBudget
 from mastickeel_router.relay.context import Context
@@ -42,7 +44,7 @@
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from mastickeel._kvtypes import KeyValue
     from mastickeel.addresses import Address
@@ -150,9 +152,21 @@
         )
         """Releases under way; decide on which versions a request may run."""
         self._peer_metrics = Metrics()
+        self.permit_issuer = PermitIssuer(clock, self.limits)
+        """Issues permits for the limited endpoints that this instance schedules."""
         self._link, self._instances = self._make_fleet()
+        self.permits = SendPermits(
+            clock,
+            self.limits,
+            self.permit_issuer,
+            instance_id=settings.instance.id,
+            link=self._link,
+            list_peers=self._list_recent_peers,
+        )
+        """Permits to send requests to limited endpoints."""
         self.registry.on_lifetime_end.append(self.loads.reset_endpoint)
         self.registry.on_lifetime_end.append(self.limits.reset_endpoint)
+        self.registry.on_lifetime_end.append(self.permits.reset_endpoint)
         self.table.on_change.append(
             lambda configuration: self._listener.apply_limits(configuration.limits)
         )
@@ -261,6 +275,10 @@
         """Returns the number of instances of the fleet that are known now, with this one."""
         return 1 + (len(self._link.peer_ids) if self._link is not None else 0)
 
+    def _list_recent_peers(self) -> Collection[str]:
+        """Returns the ids of the peers that are in the directory or were there recently."""
+        return self._instances.recent_peer_ids if self._instances is not None else ()
+
     def _make_fleet(self) -> tuple[PeerLink | None, InstanceDirectory | None]:
         """Creates peer link and instance directory; None without `peers` in the settings."""
         settings = self.settings
@@ -294,6 +312,10 @@
         share_evidence(broadcast, self.releases)
         share_sessions(broadcast, self.releases.sessions)
         share_crashes(broadcast, self.crashes)
+        share_limits(
+            broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
+        )
+        serve_permits(link, self.permit_issuer)
         return link, instances
 
     def _make_context(self) -> Context:
@@ -308,6 +330,7 @@
             budget=self.budget,
             crashes=self.crashes,
             limits=self.limits,
+            permits=self.permits,
             tasks=self._tasks,
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/__init__.py
@@ -1,5 +1,14 @@
 """Rate limits: the requests a second that an endpoint accepts from the whole fleet."""
 
+from mastickeel_router.ratelimits.issuer import PermitIssuer, PermitReply, PermitRequest
 from mastickeel_router.ratelimits.limits import EndpointLimitNotice, EndpointLimits
+from mastickeel_router.ratelimits.permits import SendPermits
 
-__all__ = ["EndpointLimitNotice", "EndpointLimits"]
+__all__ = [
+    "EndpointLimitNotice",
+    "EndpointLimits",
+    "PermitIssuer",
+    "PermitReply",
+    "PermitRequest",
+    "SendPermits",
+]
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -76,8 +76,12 @@
 
     def limit_of(self, endpoint: EndpointRecord) -> float | None:
         """Returns the requests a second that an endpoint accepts; None without a limit."""
-        limit = self._limits_by_id.get(endpoint.id)
-        if limit is None or limit.started_ms != endpoint.started_ms:
+        return self.find(endpoint.id, endpoint.started_ms)
+
+    def find(self, endpoint_id: str, started_ms: int) -> float | None:
+        """Returns the limit of one process of an endpoint; None without a limit."""
+        limit = self._limits_by_id.get(endpoint_id)
+        if limit is None or limit.started_ms != started_ms:
             return None
         return limit.per_second
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -17,7 +17,7 @@
     from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
-    from mastickeel_router.ratelimits import EndpointLimits
+    from mastickeel_router.ratelimits import EndpointLimits, SendPermits
     from mastickeel_router.relay.budget import RetryBudget
     from mastickeel_router.relay.policy import SendResult
     from mastickeel_router.relay.types import CallerRequest, Dialect
@@ -95,6 +95,8 @@
     """Reports of contents that crash endpoints; refuses such contents."""
     limits: EndpointLimits
     """Rate limits that endpoints have named."""
+    permits: SendPermits
+    """Permits to send requests to endpoints with a rate limit."""
     tasks: TaskGroup
     """Task group of the background work beside requests."""
     select_endpoints: EndpointSelector
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
@@ -0,0 +1,141 @@
+"""Places sends: selects the endpoint, and waits for a permit if the endpoint has a rate limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mastickeel.errors import UnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Sequence
+
+    from mastickeel_router.discovery import EndpointRecord
+    from mastickeel_router.placement import Demand
+    from mastickeel_router.relay.context import Context
+
+MAX_PERMIT_REQUESTS = 3
+"""Maximum number of limited endpoints whose permit is requested before an endpoint without a limit
+is preferred: each request is a round trip to another instance."""
+
+
+class NoEndpointError(UnavailableError):
+    """Raised when no endpoint of a service is known."""
+
+
+class EndpointsLimitedError(UnavailableError):
+    """Raised when every endpoint has a rate limit that is used up."""
+
+    code = "endpoints_limited"
+    title = "The service's endpoints accept no more requests at the moment."
+
+
+class Placer:
+    """Places the sends of one request."""
+
+    def __init__(
+        self,
+        context: Context,
+        *,
+        service: str,
+        list_endpoints: Callable[[], Sequence[EndpointRecord]],
+        tried_ids: Collection[str],
+    ) -> None:
+        """Creates a placer.
+
+        Args:
+            context: Provides loads, limits and permits.
+            service: Name of the service, for errors.
+            list_endpoints: Returns the endpoints that may serve the request now.
+            tried_ids: Ids of the endpoints that were tried; others are preferred.
+        """
+        self.candidate_count = 0
+        """Number of endpoints that were candidates for the last send."""
+        self._context = context
+        self._service = service
+        self._list_endpoints = list_endpoints
+        self._tried_ids = tried_ids
+
+    async def place(self, demand: Demand, model: str, max_wait_ms: float) -> EndpointRecord:
+        """Returns the endpoint of the next send; the send is permitted from then on.
+
+        Args:
+            demand: Resources that the request needs.
+            model: Name of the model that runs the request.
+            max_wait_ms: Longest time for which the request may wait for a limited endpoint.
+
+        Raises:
+            NoEndpointError: When no endpoint is known.
+            EndpointsLimitedError: When the limits of all endpoints are used up for longer than
+                `max_wait_ms`.
+        """
+        context = self._context
+        denied_ids: set[str] = set()
+        while True:
+            records = self._list_endpoints()
+            self.candidate_count = len(records)
+            if not records:
+                raise NoEndpointError(f"No endpoint of {self._service} is known.")
+            open_records = self._list_open(records, denied_ids)
+            endpoint = context.loads.choose(self._prefer_untried(open_records), demand, model)
+            if endpoint is None:
+                endpoint = await self._wait_for_limited(records, max_wait_ms)
+            elif context.limits.limit_of(endpoint) is None:
+                return endpoint
+            elif not (await context.permits.acquire(endpoint)).granted:
+                denied_ids.add(endpoint.id)
+                continue
+            if self._is_selectable(endpoint):
+                return endpoint
+
+    def _is_selectable(self, endpoint: EndpointRecord) -> bool:
+        """Returns whether an endpoint may still serve the request after waiting for a permit."""
+        return any(
+            (record.id, record.started_ms) == (endpoint.id, endpoint.started_ms)
+            for record in self._list_endpoints()
+        )
+
+    def has_unlimited(self) -> bool:
+        """Returns whether an endpoint without a rate limit may serve the request now."""
+        limits = self._context.limits
+        return any(limits.limit_of(record) is None for record in self._list_endpoints())
+
+    def _list_open(
+        self, records: Sequence[EndpointRecord], denied_ids: Collection[str]
+    ) -> list[EndpointRecord]:
+        """Returns the endpoints that may accept a request at once."""
+        context = self._context
+        if len(denied_ids) >= MAX_PERMIT_REQUESTS:
+            return [record for record in records if context.limits.limit_of(record) is None]
+        return [
+            record
+            for record in records
+            if record.id not in denied_ids and not context.permits.known_wait_ms(record)
+        ]
+
+    def _prefer_untried(self, records: Sequence[EndpointRecord]) -> Sequence[EndpointRecord]:
+        untried = [record for record in records if record.id not in self._tried_ids]
+        return untried or records
+
+    async def _wait_for_limited(
+        self, records: Sequence[EndpointRecord], max_wait_ms: float
+    ) -> EndpointRecord:
+        """Waits for one of the limited endpoints that accept a request next.
+
+        Raises:
+            EndpointsLimitedError: When that takes longer than `max_wait_ms`.
+        """
+        context = self._context
+        breakers, permits = context.loads.breakers, context.permits
+        healthy = [record for record in records if not breakers.is_open(record.id)]
+        nearest = sorted(healthy or records, key=permits.known_wait_ms)[:MAX_PERMIT_REQUESTS]
+        waits_ms = []
+        for endpoint in nearest:
+            permit = await permits.acquire(endpoint, max_wait_ms)
+            if permit.granted:
+                await context.clock.sleep(permit.wait_ms)
+                return endpoint
+            waits_ms.append(permit.wait_ms)
+        raise EndpointsLimitedError(
+            f"No endpoint of {self._service} accepts more requests now.",
+            retry_after_ms=max(1, min(waits_ms)),
+        )
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -20,6 +20,7 @@
     SendObservation,
 )
 from mastickeel_router.relay.crashes import CrashDetector
+from mastickeel_router.relay.placing import Placer
 from mastickeel_router.relay.policy import (
     NextStep,
     RequestState,
@@ -112,6 +113,12 @@
         self._pin = context.sessions.version_of(request.session)
         self._service = _choose_service(route, context.rng)
         self._cascade = Cascade(request, route, traits=self._engine_traits(), loads=context.loads)
+        self._placer = Placer(
+            context,
+            service=self._service,
+            list_endpoints=self._selectable_endpoints,
+            tried_ids=self._progress.tried_ids,
+        )
         self._log = RequestLog(
             context,
             request,
@@ -145,7 +152,7 @@
         """Sends the request until an answer can be delivered or no retry is left."""
         while True:
             self._check_content()
-            endpoint = self._choose_endpoint()
+            endpoint = await self._choose_endpoint()
             result = await self._send(endpoint)
             state = RequestState(
                 sends=self._progress.sends,
@@ -189,26 +196,30 @@
             self._service
         )
 
-    def _choose_endpoint(self) -> EndpointRecord:
-        """Selects the endpoint of the next send; prefers endpoints that were not tried yet.
+    async def _choose_endpoint(self) -> EndpointRecord:
+        """Selects the endpoint of the next send, and waits if its rate limit requires it.
 
         Raises:
-            UnavailableError: When no endpoint is known and the request has not run.
-            EndpointError: When no endpoint is known and the request may have run.
+            UnavailableError: When no endpoint accepts the request, which has not run.
+            EndpointError: When no endpoint accepts the request, which may have run.
         """
-        context = self._context
-        records = self._selectable_endpoints()
-        self._log.candidate_count = len(records)
-        untried = [record for record in records if record.id not in self._progress.tried_ids]
-        endpoint = context.loads.choose(
-            untried or records, self._cascade.demand, self._cascade.model
-        )
-        if endpoint is not None:
-            return endpoint
-        detail = f"No endpoint of {self._service} is known."
-        if self._progress.may_have_run:
-            raise EndpointError(detail)
-        raise UnavailableError(detail, retry_after_ms=self._jitter(NO_ENDPOINT_RETRY_MS))
+        try:
+            return await self._placer.place(
+                self._cascade.demand, self._cascade.model, self._max_wait_ms
+            )
+        except UnavailableError as error:
+            if self._progress.may_have_run:
+                raise EndpointError(error.detail) from error
+            error.retry_after_ms = self._jitter(error.retry_after_ms or NO_ENDPOINT_RETRY_MS)
+            raise
+        finally:
+            self._log.candidate_count = self._placer.candidate_count
+
+    @property
+    def _max_wait_ms(self) -> int:
+        """Longest time for which the next send may wait and the answer still be in time."""
+        waited_ms = self._context.clock.now() - self._progress.started_ms
+        return max(0, min(self._route.objective_ms - waited_ms, self._remaining_ms // 2))
 
     def _engine_traits(self) -> EngineTraits | None:
         """Returns the configured traits of the service's engines; None for a plain service."""
@@ -319,8 +330,10 @@
         return True
 
     def _can_escalate(self) -> bool:
-        """Returns whether the route permits another send to a larger model."""
-        return self._progress.sends < self._route.attempts and self._route.allows_retry
+        """Returns whether the route and the endpoints permit another send to a larger model."""
+        if self._progress.sends >= self._route.attempts or not self._route.allows_retry:
+            return False
+        return self._placer.has_unlimited()
 
     def _record_result(self, endpoint: EndpointRecord, result: SendResult, start_ms: int) -> None:
         """Reports a send to the crash detector, the circuit breakers and the context's callback."""
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -56,6 +56,16 @@
         cause = self.cause(request_end(2, "refused", code="unavailable", version=0))
         self.assertIn("not loaded a configuration", cause)
 
+    def test_rate_limits_that_were_used_up(self) -> None:
+        cause = self.cause(
+            line(1, "endpoint_limited", endpoint="e1", per_second=1.6),
+            line(2, "endpoint_limited", endpoint="e2", per_second=3.0),
+            line(3, "endpoint_limit_lifted", endpoint="e2"),
+            request_end(4, "refused", code="endpoints_limited"),
+        )
+        self.assertIn("e1 1.6 a second since 2026-09-20T22:07:01", cause)
+        self.assertNotIn("e2", cause)
+
     def test_each_send_is_listed_with_the_newest_event_of_its_endpoint(self) -> None:
         cause = self.cause(
             line(1, "endpoint_found", endpoint="e1", service="s"),
--- a/tests/mastickeel_platform/test_fleet.py
+++ b/tests/mastickeel_platform/test_fleet.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 from unittest.mock import patch
 
+from tornado.httputil import HTTPHeaders
+
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.reports import REFUSED_AFTER_CRASHES
+from mastickeel_router.relay.types import AnswerHead
 from mastickeel_router.releases import EvidenceReport
 from mastickeel_router.sequential import Block
 from tests.mastickeel_platform.gateway_case import FleetTestCase
@@ -99,6 +103,22 @@
             lambda: all(evidence in reports.values() for reports in evidence_maps)
         )
 
+    async def test_limit_named_to_one_is_known_to_all_and_to_a_newcomer(self) -> None:
+        endpoint = self.gateways[0].registry.all()[0]
+        named = AnswerHead(200, HTTPHeaders(), "a1", signed=True, rate_limit=2.0)
+        first, *others = self.gateways
+
+        def is_known_to_all(limit: float | None) -> bool:
+            first.limits.record_answer(
+                endpoint, replace(named, rate_limit=limit), first.clock.now()
+            )
+            return all(gateway.limits.limit_of(endpoint) == limit for gateway in self.gateways)
+
+        await self.wait_until(lambda: is_known_to_all(2.0))
+        others.append(await self.add_gateway(GATEWAY_COUNT + 1))
+        await self.wait_until(lambda: is_known_to_all(2.0))
+        await self.wait_until(lambda: is_known_to_all(None))
+
     async def test_standbys_are_notified_of_a_vacant_duty(self) -> None:
         duties = [gateway.releases._duty for gateway in self.gateways]
         with patch.object(type(duties[0]), "record_vacancy", autospec=True) as record_vacancy:
--- a/tests/mastickeel_router/fleet/test_sharing.py
+++ b/tests/mastickeel_router/fleet/test_sharing.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 
+from mastickeel._kvtypes import KeyValue
 from mastickeel.addresses import Address
 from mastickeel.clock import Clock, FakeClock
 from mastickeel.metrics import Metrics
@@ -20,6 +21,7 @@
     share_loads,
     share_sessions,
 )
+from mastickeel_router.fleet.instances import RECENT_MS
 from mastickeel_router.placement import Demand, EndpointLoads
 from mastickeel_router.relay.types import PromptPart
 from mastickeel_router.releases import EvidenceReport, SessionVersions
@@ -189,5 +191,31 @@
         await self.until(lambda: not self.links[0].peer_ids)
 
 
+class RecentPeersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_removed_peer_is_recent_until_all_instances_have_lost_it(self) -> None:
+        clock = FakeClock()
+        link = PeerLink("i0", clock=clock, metrics=Metrics())
+        self.addAsyncCleanup(link.close)
+        directory = InstanceDirectory(
+            MemoryStore(),  # type: ignore[arg-type]
+            link,
+            prefix="/m",
+            host="127.0.0.1",
+            traits=PeerTraits("dc-a"),
+            clock=clock,
+        )
+        handler = directory.entry_handler()
+        entry = KeyValue("/m/instances/i1", b"127.0.0.1:7", 1, 1, 0)
+        handler.on_put(entry)
+        self.assertEqual(directory.recent_peer_ids, ("i1",))
+        handler.on_delete(entry.key, 2)
+        self.assertEqual((link.peer_ids, directory.recent_peer_ids), ((), ("i1",)))
+        handler.on_list((entry,), 3)
+        handler.on_list((), 4)
+        self.assertEqual(directory.recent_peer_ids, ("i1",))
+        await clock.advance(RECENT_MS)
+        self.assertEqual(directory.recent_peer_ids, ())
+
+
 if __name__ == "__main__":
     unittest.main()
