Keep an endpoint's rate limit while its entry is missing from the store

Callers saw nothing. Cause: the limit was dropped with the endpoint's entry, which may expire in an outage of the store while the process goes on; all instances then forgot the limit at once.

Change: a limit belongs to one process of an endpoint (id and start) and outlives its entry; the number of limits is bounded. The gauge counts listed endpoints only.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -165,7 +165,6 @@
         )
         """Permits to send requests to limited endpoints."""
         self.registry.on_lifetime_end.append(self.loads.reset_endpoint)
-        self.registry.on_lifetime_end.append(self.limits.reset_endpoint)
         self.registry.on_lifetime_end.append(self.permits.reset_endpoint)
         self.table.on_change.append(
             lambda configuration: self._listener.apply_limits(configuration.limits)
@@ -275,6 +274,11 @@
         """Returns the number of instances of the fleet that are known now, with this one."""
         return 1 + (len(self._link.peer_ids) if self._link is not None else 0)
 
+    def _count_limited(self) -> int:
+        """Returns the number of listed endpoints that have a rate limit."""
+        limits = map(self.limits.limit_of, self.registry.all())
+        return sum(limit is not None for limit in limits)
+
     def _list_recent_peers(self) -> Collection[str]:
         """Returns the ids of the peers that are in the directory or were there recently."""
         return self._instances.recent_peer_ids if self._instances is not None else ()
@@ -352,7 +356,7 @@
         )
         metrics.add_gauge("endpoints", "Endpoints known", lambda: len(self.registry.all()))
         metrics.add_gauge(
-            "endpoints_limited", "Endpoints that name a rate limit", lambda: self.limits.count
+            "endpoints_limited", "Endpoints that name a rate limit", self._count_limited
         )
         metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
         metrics.add_gauge(
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,9 @@
 LIFT_HOLD_MS = 500
 """Time after an answer that names a limit during which answers without one do not lift it: answers
 of other connections may have been written before it."""
+MAX_LIMITS = 4_096
+"""Maximum number of limits; the oldest are dropped. A limit outlives the endpoint's entry in the
+store, which may expire in an outage while the endpoint's process goes on."""
 RENOTIFY_INTERVAL_MS = 1_000
 """Minimum interval of notices about a limit that has not changed, for instances that have missed
 the earlier ones."""
@@ -67,12 +71,7 @@
         self.on_notice: list[Callable[[EndpointLimitNotice], None]] = []
         """Callbacks for limits that an answer to this instance has named or lifted."""
         self._clock = clock
-        self._limits_by_id: dict[str, _Limit] = {}
-
-    @property
-    def count(self) -> int:
-        """Number of endpoints with a limit."""
-        return len(self._limits_by_id)
+        self._limits_by_id: OrderedDict[str, _Limit] = OrderedDict()
 
     def limit_of(self, endpoint: EndpointRecord) -> float | None:
         """Returns the requests a second that an endpoint accepts; None without a limit."""
@@ -111,10 +110,6 @@
         else:
             self._record_named(notice.endpoint, notice.started_ms, notice.per_second, notify=False)
 
-    def reset_endpoint(self, endpoint_id: str) -> None:
-        """Removes the limit of an endpoint that has ended or restarted."""
-        self._limits_by_id.pop(endpoint_id, None)
-
     def _record_named(
         self, endpoint_id: str, started_ms: int, per_second: float, *, notify: bool
     ) -> None:
@@ -130,6 +125,9 @@
         self._limits_by_id[endpoint_id] = _Limit(
             per_second, started_ms, now, now if notify else notified_ms
         )
+        self._limits_by_id.move_to_end(endpoint_id)
+        if len(self._limits_by_id) > MAX_LIMITS:
+            self._limits_by_id.popitem(last=False)
         if notify:
             self._notify(EndpointLimitNotice(endpoint_id, started_ms, per_second))
 
