Soak: gateways as processes before endpoints that name limits, under faults

Change: limit_soak starts gateways as processes over loopback with a store and three endpoints, two clients for each (one keeps its connection until the process is gone), changes the limits, and kills, stops, restarts and freezes processes, takes the store away with leases that end, and lets entries expire, in series and overlapping. It checks the platform's bound for each limit, counting all instances that have been free of faults for 3 s whether they were told or not, and that nothing that was refused has run.

--- /dev/null
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -0,0 +1,401 @@
+"""Soak of gateways as processes before endpoints that name rate limits, under random faults.
+
+Run by hand with more seeds and instances:
+``python -m tests.mastickeel_platform.limit_soak --first 1 --seeds 50 --instances 9``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from mastickeel.clock import Clock
+from mastickeel.tasks import TaskGroup
+from tests.mastickeel_platform.gateway_case import PEERS, SETTINGS
+from tests.mastickeel_platform.standins import (
+    FakeStore,
+    RawServer,
+    Reply,
+    Request,
+    answer_bytes,
+    call,
+    configuration,
+    entry,
+    read_reply,
+    request_bytes,
+    route,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+RATES = (0.5, 1.0, 1.6, 4.0, 12.0)
+ENDPOINT_COUNT = 3
+WINDOW_MS = 4_000
+EXCESS = 1.5
+SLACK = 5
+CONTACT_MS = 3_000
+"""The platform's bounds: what an endpoint may get in a window above its limit, and the time after
+the first answer with a limit, and after an instance's fault, from which on requests count."""
+START_TIMEOUT_MS = 30_000
+REQUEST_TIMEOUT_MS = 8_000
+REQUEST_INTERVAL_MS = 150
+"""Mean time between two requests of one client; each instance has two clients."""
+WORK_MS = (5, 60)
+FAULT_PAUSE_MS = 1_500
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request at an endpoint."""
+
+    at_ms: int
+    sender: str
+    request_id: str
+
+
+@dataclass
+class LimitedEndpoint:
+    """An endpoint that names a limit while it has one."""
+
+    id: str
+    server: RawServer
+    limit: float | None = None
+    named_since_ms: int | None = None
+    """Time of the first answer with the present limit."""
+    periods: list[tuple[float, int, int]] = field(default_factory=list)
+    """Limits that are over: requests a second, and the times of the first and last answer."""
+    arrivals: list[Arrival] = field(default_factory=list)
+
+    def set_limit(self, limit: float | None, now_ms: int) -> None:
+        """Ends the present limit and begins another."""
+        if self.limit is not None and self.named_since_ms is not None:
+            self.periods.append((self.limit, self.named_since_ms, now_ms))
+        self.limit, self.named_since_ms = limit, None
+
+
+@dataclass
+class Instance:
+    """A gateway process."""
+
+    id: str
+    process: asyncio.subprocess.Process | None = None
+    port: int = 0
+    faults_ms: list[tuple[int, int]] = field(default_factory=list)
+    """Spans in which the process was stopped, restarted or cut off."""
+
+
+@dataclass
+class Result:
+    """What a run has shown."""
+
+    seed: int
+    outcomes: Counter[str]
+    violations: list[str]
+    fault_counts: Counter[str]
+
+
+class LimitSoak:
+    """One run."""
+
+    def __init__(self, seed: int, instance_count: int, duration_ms: int) -> None:
+        """Creates a run that has not started.
+
+        Args:
+            seed: Seed of the faults, limits and requests.
+            instance_count: Number of gateway processes.
+            duration_ms: Time under faults.
+        """
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._clock = Clock()
+        self._duration_ms = duration_ms
+        self._store = FakeStore()
+        self._instances = [Instance(f"edge-{number}") for number in range(instance_count)]
+        self._endpoints: list[LimitedEndpoint] = []
+        self._outcomes: Counter[str] = Counter()
+        self._faults: Counter[str] = Counter()
+        self._violations: list[str] = []
+        self._ids_by_sender: dict[str, str] = {}
+        self._refused_ids: set[str] = set()
+        self._ended = False
+        self._tasks = TaskGroup()
+
+    async def run(self) -> Result:
+        """Starts everything, breaks it for the duration, and checks what the endpoints got."""
+        with tempfile.TemporaryDirectory() as folder:
+            await self._store.server.start()
+            self._store.put("op/config", configuration(7, route("look", "safe", max_attempts=2)))
+            for number in range(ENDPOINT_COUNT):
+                await self._add_endpoint(number)
+            try:
+                starts = (self._start(instance, Path(folder)) for instance in self._instances)
+                await asyncio.gather(*starts)
+                clients = [
+                    asyncio.create_task(client(instance))
+                    for instance in self._instances
+                    for client in (self._send_on_new, self._send_on_kept)
+                ]
+                await self._break(Path(folder))
+                self._ended = True
+                await asyncio.gather(*clients)
+            finally:
+                await self._stop_all()
+        self._check()
+        return Result(self._seed, self._outcomes, self._violations, self._faults)
+
+    async def _add_endpoint(self, number: int) -> None:
+        endpoint = LimitedEndpoint(f"i-{number}", RawServer(self._respond))
+        self._endpoints.append(endpoint)
+        await endpoint.server.start()
+        self._store.put(f"servers/{endpoint.id}", entry(endpoint.server.port))
+
+    async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        endpoint = next(
+            one for one in self._endpoints if one.id == request.headers["expect-instance"]
+        )
+        now = self._clock.now()
+        sender = self._ids_by_sender.get(request.id, "")
+        endpoint.arrivals.append(Arrival(now, sender, request.id))
+        await self._clock.sleep(self._rng.uniform(*WORK_MS))
+        extra = ""
+        if endpoint.limit is not None:
+            extra = f"Server-Limit: {endpoint.limit}"
+            if endpoint.named_since_ms is None:
+                endpoint.named_since_ms = self._clock.now()
+        writer.write(answer_bytes(request, extra=extra))
+
+    async def _start(self, instance: Instance, folder: Path) -> None:
+        """Starts a gateway process and waits until it listens."""
+        path = folder / f"{instance.id}.conf"
+        text = SETTINGS.format(port=self._store.server.port).replace("edge-1", instance.id)
+        path.write_text(text.replace('level = "error"', 'level = "info"') + PEERS)
+        instance.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "mastickeel_platform",
+            "serve",
+            env={**os.environ, "MASTICKEEL_CONFIG": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        await self._clock.wait_for(self._read_port(instance), START_TIMEOUT_MS)
+        self._tasks.start(_discard(instance.process.stdout))
+
+    async def _read_port(self, instance: Instance) -> None:
+        assert instance.process is not None and instance.process.stdout is not None
+        async for line in instance.process.stdout:
+            record = json.loads(line)
+            if record["event"] == "started":
+                instance.port = record["callers"]
+                return
+        raise RuntimeError(f"{instance.id} ended before it listened")
+
+    async def _send_on_new(self, instance: Instance) -> None:
+        """Sends requests on new connections until the run ends."""
+        number = 0
+        while not self._ended:
+            number += 1
+            await self._pause()
+            request_id = self._name_request(instance, f"n{number}")
+            await self._exchange(instance, request_id, self._call(instance.port, request_id))
+
+    async def _call(self, port: int, request_id: str) -> Reply:
+        return await call(port, request_bytes("/look/a", request_id))
+
+    async def _send_on_kept(self, instance: Instance) -> None:
+        """Sends requests on one connection until its process is gone, then opens another."""
+        number = 0
+        while not self._ended:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", instance.port)
+            except OSError:
+                await self._pause()
+                continue
+            is_open = True
+            while is_open and not self._ended:
+                number += 1
+                await self._pause()
+                request_id = self._name_request(instance, f"k{number}")
+                writer.write(request_bytes("/look/a", request_id))
+                is_open = await self._exchange(instance, request_id, read_reply(reader))
+            writer.close()
+
+    def _name_request(self, instance: Instance, number: str) -> str:
+        request_id = f"{instance.id}-{number}"
+        self._ids_by_sender[request_id] = instance.id
+        return request_id
+
+    async def _exchange(
+        self, instance: Instance, request_id: str, reply: Coroutine[object, object, Reply]
+    ) -> bool:
+        """Awaits a reply and records it; returns whether the connection can be used again."""
+        try:
+            got = await self._clock.wait_for(reply, REQUEST_TIMEOUT_MS)
+        except (OSError, TimeoutError, ValueError, IndexError) as error:
+            self._outcomes[type(error).__name__] += 1
+            return False
+        self._outcomes[str(got.status)] += 1
+        if got.status == 503:
+            self._refused_ids.add(request_id)
+            if "retry-after" not in got.headers:
+                self._violations.append(f"{request_id}: refused without a time to come back")
+        return got.status != 0 and got.headers.get("connection") != "close"
+
+    async def _pause(self) -> None:
+        await self._clock.sleep(self._rng.expovariate(1 / REQUEST_INTERVAL_MS))
+
+    async def _break(self, folder: Path) -> None:
+        """Changes limits and injects faults, in series and overlapping."""
+        end_ms = self._clock.now() + self._duration_ms
+        running: list[asyncio.Task[None]] = []
+        faults = {
+            "limit": self._change_limit,
+            "kill": lambda: self._restart(signal.SIGKILL, folder),
+            "term": lambda: self._restart(signal.SIGTERM, folder),
+            "freeze": self._freeze,
+            "store": self._lose_store,
+            "entry": self._lose_entry,
+        }
+        for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
+            endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
+        while self._clock.now() < end_ms:
+            name = self._rng.choice(("limit", *faults))
+            self._faults[name] += 1
+            running.append(asyncio.create_task(faults[name]()))
+            await self._clock.sleep(self._rng.uniform(0, 2 * FAULT_PAUSE_MS))
+        await asyncio.gather(*running)
+
+    async def _change_limit(self) -> None:
+        endpoint = self._rng.choice(self._endpoints)
+        endpoint.set_limit(self._rng.choice((None, *RATES)), self._clock.now())
+
+    async def _restart(self, signal_number: signal.Signals, folder: Path) -> None:
+        instance = self._rng.choice(self._instances)
+        process = instance.process
+        if process is None:
+            return
+        instance.process = None
+        begin_ms = self._clock.now()
+        process.send_signal(signal_number)
+        await process.wait()
+        await self._start(instance, folder)
+        instance.faults_ms.append((begin_ms, self._clock.now()))
+
+    async def _freeze(self) -> None:
+        instance = self._rng.choice(self._instances)
+        process = instance.process
+        if process is None:
+            return
+        instance.process = None
+        begin_ms = self._clock.now()
+        process.send_signal(signal.SIGSTOP)
+        await self._clock.sleep(self._rng.uniform(300, 4_000))
+        process.send_signal(signal.SIGCONT)
+        instance.process = process
+        instance.faults_ms.append((begin_ms, self._clock.now()))
+
+    async def _lose_store(self) -> None:
+        """Lets the store refuse all calls, and ends the leases of some or all instances."""
+        self._store.refusal_status = 503
+        await self._clock.sleep(self._rng.uniform(200, 2_500))
+        for lease in list(self._store.leases):
+            if self._rng.random() < 0.7:
+                self._store.end_lease(lease)
+        self._store.refusal_status = 0
+
+    async def _lose_entry(self) -> None:
+        """Lets an endpoint's entry expire and come back while its process goes on."""
+        key = f"servers/{self._rng.choice(self._endpoints).id}"
+        value = self._store.read(key)
+        if value is None:
+            return
+        self._store.delete(key)
+        await self._clock.sleep(self._rng.uniform(0, 1_500))
+        self._store.put(key, value)
+
+    async def _stop_all(self) -> None:
+        for instance in self._instances:
+            if instance.process is not None and instance.process.returncode is None:
+                instance.process.kill()
+                await instance.process.wait()
+        for endpoint in self._endpoints:
+            endpoint.set_limit(None, self._clock.now())
+            await endpoint.server.stop()
+        await self._store.server.stop()
+        await self._tasks.stop()
+
+    def _check(self) -> None:
+        """Checks the limits, and that what was refused has not run."""
+        ran_ids = {arrival.request_id for one in self._endpoints for arrival in one.arrivals}
+        self._violations += [f"{one}: refused but run" for one in ran_ids & self._refused_ids]
+        for endpoint in self._endpoints:
+            for per_second, begin_ms, end_ms in endpoint.periods:
+                self._check_period(endpoint, per_second, begin_ms + CONTACT_MS, end_ms)
+
+    def _check_period(
+        self, endpoint: LimitedEndpoint, per_second: float, begin_ms: int, end_ms: int
+    ) -> None:
+        allowed = EXCESS * per_second * WINDOW_MS / 1_000 + SLACK
+        counted = [
+            arrival
+            for arrival in endpoint.arrivals
+            if begin_ms <= arrival.at_ms <= end_ms and not self._is_excused(arrival)
+        ]
+        first = 0
+        for last, arrival in enumerate(counted):
+            while counted[first].at_ms <= arrival.at_ms - WINDOW_MS:
+                first += 1
+            if last - first + 1 > allowed:
+                self._violations.append(
+                    f"{endpoint.id} named {per_second} a second and got {last - first + 1}"
+                    f" requests in {WINDOW_MS} ms, allowed {allowed:g}"
+                )
+                return
+
+    def _is_excused(self, arrival: Arrival) -> bool:
+        """Returns whether the sender was under a fault, or just after it."""
+        instance = next(one for one in self._instances if one.id == arrival.sender)
+        return any(
+            begin_ms <= arrival.at_ms <= end_ms + CONTACT_MS
+            for begin_ms, end_ms in instance.faults_ms
+        )
+
+
+async def _discard(stream: asyncio.StreamReader | None) -> None:
+    """Reads a stream to its end."""
+    while stream is not None and await stream.read(65_536):
+        pass
+
+
+def main() -> int:
+    """Runs several seeds and prints a line for each; returns 1 after a violation."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--instances", type=int, default=9)
+    parser.add_argument("--seconds", type=int, default=20)
+    options = parser.parse_args()
+    totals: dict[str, int] = defaultdict(int)
+    for seed in range(options.first, options.first + options.seeds):
+        soak = LimitSoak(seed, options.instances, options.seconds * 1_000)
+        result = asyncio.run(soak.run())
+        totals["violations"] += len(result.violations)
+        print(seed, dict(result.outcomes), dict(result.fault_counts), result.violations, flush=True)
+    print(json.dumps(totals))
+    return 1 if totals["violations"] else 0
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        sys.exit(main())
--- /dev/null
+++ b/tests/mastickeel_platform/test_limit_soak.py
@@ -0,0 +1,24 @@
+"""Gateways as processes keep the limits that endpoints name, under random faults."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.mastickeel_platform.limit_soak import LimitSoak
+
+SEEDS = (1, 2)
+INSTANCE_COUNT = 5
+DURATION_MS = 15_000
+
+
+class LimitSoakTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_limit_is_broken(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                result = await LimitSoak(seed, INSTANCE_COUNT, DURATION_MS).run()
+                self.assertEqual(result.violations, [], result)
+                self.assertGreater(result.outcomes["200"], 0, result)
+
+
+if __name__ == "__main__":
+    unittest.main()
