Let a request wait for a limited endpoint only if its first event comes in time

Cause: the wait for a permit could use up the whole latency objective, so that what was sent after it was late.

Change: the expected first-event latency of the endpoint is taken off the time that may be waited.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
@@ -55,18 +55,18 @@
         self._list_endpoints = list_endpoints
         self._tried_ids = tried_ids
 
-    async def place(self, demand: Demand, model: str, max_wait_ms: float) -> EndpointRecord:
+    async def place(self, demand: Demand, model: str, time_left_ms: float) -> EndpointRecord:
         """Returns the endpoint of the next send; the send is permitted from then on.
 
         Args:
             demand: Resources that the request needs.
             model: Name of the model that runs the request.
-            max_wait_ms: Longest time for which the request may wait for a limited endpoint.
+            time_left_ms: Time within which the first event should arrive; limits the wait for a
+                limited endpoint.
 
         Raises:
             NoEndpointError: When no endpoint is known.
-            EndpointsLimitedError: When the limits of all endpoints are used up for longer than
-                `max_wait_ms`.
+            EndpointsLimitedError: When the limits of all endpoints are used up for too long.
         """
         context = self._context
         denied_ids: set[str] = set()
@@ -78,7 +78,7 @@
             open_records = self._list_open(records, denied_ids)
             endpoint = context.loads.choose(self._prefer_untried(open_records), demand, model)
             if endpoint is None:
-                endpoint = await self._wait_for_limited(records, max_wait_ms)
+                endpoint = await self._wait_for_limited(records, demand, model, time_left_ms)
             elif context.limits.limit_of(endpoint) is None:
                 return endpoint
             elif not (await context.permits.acquire(endpoint)).granted:
@@ -117,12 +117,16 @@
         return untried or records
 
     async def _wait_for_limited(
-        self, records: Sequence[EndpointRecord], max_wait_ms: float
+        self,
+        records: Sequence[EndpointRecord],
+        demand: Demand,
+        model: str,
+        time_left_ms: float,
     ) -> EndpointRecord:
         """Waits for one of the limited endpoints that accept a request next.
 
         Raises:
-            EndpointsLimitedError: When that takes longer than `max_wait_ms`.
+            EndpointsLimitedError: When the first event would arrive after `time_left_ms`.
         """
         context = self._context
         breakers, permits = context.loads.breakers, context.permits
@@ -130,7 +134,8 @@
         nearest = sorted(healthy or records, key=permits.known_wait_ms)[:MAX_PERMIT_REQUESTS]
         waits_ms = []
         for endpoint in nearest:
-            permit = await permits.acquire(endpoint, max_wait_ms)
+            expected_ms = context.loads.predict_first_event_ms([endpoint], demand, model)
+            permit = await permits.acquire(endpoint, max(0.0, time_left_ms - expected_ms))
             if permit.granted:
                 await context.clock.sleep(permit.wait_ms)
                 return endpoint
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -205,7 +205,7 @@
         """
         try:
             return await self._placer.place(
-                self._cascade.demand, self._cascade.model, self._max_wait_ms
+                self._cascade.demand, self._cascade.model, self._time_left_ms
             )
         except UnavailableError as error:
             if self._progress.may_have_run:
@@ -216,8 +216,8 @@
             self._log.candidate_count = self._placer.candidate_count
 
     @property
-    def _max_wait_ms(self) -> int:
-        """Longest time for which the next send may wait and the answer still be in time."""
+    def _time_left_ms(self) -> int:
+        """Time within which the first event of the next send should arrive."""
         waited_ms = self._context.clock.now() - self._progress.started_ms
         return max(0, min(self._route.objective_ms - waited_ms, self._remaining_ms // 2))
 
--- a/tests/mastickeel_router/relay/test_placing.py
+++ b/tests/mastickeel_router/relay/test_placing.py
@@ -12,6 +12,7 @@
 from mastickeel_router.breaker import FAILURES_TO_OPEN
 from mastickeel_router.discovery import EndpointRecord
 from mastickeel_router.placement import Demand, EndpointLoads
+from mastickeel_router.placement.scoring import PLAIN_REQUEST_MS
 from mastickeel_router.ratelimits import (
     EndpointLimitNotice,
     EndpointLimits,
@@ -63,12 +64,12 @@
         for number in numbers:
             self.limits.apply_notice(EndpointLimitNotice(f"e{number}", 0, per_second))
 
-    async def place(self, count: int = 1, max_wait_ms: int = 0) -> None:
-        """Places requests at once; their sends may come later."""
+    async def place(self, count: int = 1, wait_ms: int = 0) -> None:
+        """Places requests at once that may wait for a time before they are sent."""
 
         async def place_one() -> None:
             try:
-                endpoint = await self.placer.place(Demand(), "", max_wait_ms)
+                endpoint = await self.placer.place(Demand(), "", wait_ms + PLAIN_REQUEST_MS)
             except (NoEndpointError, EndpointsLimitedError) as error:
                 self.errors.append(error)
             else:
@@ -89,7 +90,7 @@
 
     async def test_requests_wait_in_turn_when_every_endpoint_is_limited(self) -> None:
         self.limit(0, 1, 2)
-        await self.place(6, max_wait_ms=2 * INTERVAL_MS)
+        await self.place(6, wait_ms=2 * INTERVAL_MS)
         self.assertEqual(self.placed, [])
         await self.clock.advance(3 * INTERVAL_MS)
         self.assertEqual(
@@ -98,7 +99,7 @@
 
     async def test_request_that_would_wait_too_long_is_refused_at_once_and_told_when(self) -> None:
         self.limit(0, 1, 2)
-        await self.place(1, max_wait_ms=INTERVAL_MS - 1)
+        await self.place(1, wait_ms=INTERVAL_MS - 1)
         (error,) = self.errors
         assert isinstance(error, EndpointsLimitedError)
         self.assertEqual((error.status, error.retry_after_ms), (503, INTERVAL_MS))
@@ -106,7 +107,7 @@
 
     async def test_endpoint_that_leaves_during_the_wait_gets_no_request(self) -> None:
         self.limit(0, 1, 2)
-        await self.place(1, max_wait_ms=INTERVAL_MS)
+        await self.place(1, wait_ms=INTERVAL_MS)
         self.records = []
         await self.clock.advance(INTERVAL_MS)
         self.assertEqual(self.placed, [])
@@ -115,7 +116,7 @@
     async def test_tried_endpoint_without_a_limit_comes_before_a_wait(self) -> None:
         self.limit(0, 1)
         self.tried_ids.append("e2")
-        await self.place(1, max_wait_ms=LONG_MS)
+        await self.place(1, wait_ms=LONG_MS)
         self.assertEqual(self.placed, [("e2", 0)])
 
     async def test_request_does_not_wait_for_a_failing_endpoint(self) -> None:
@@ -123,7 +124,7 @@
         for number in (0, 1):
             for _ in range(FAILURES_TO_OPEN):
                 self.loads.breakers.record_failure(f"e{number}")
-        await self.place(1, max_wait_ms=INTERVAL_MS)
+        await self.place(1, wait_ms=INTERVAL_MS)
         await self.clock.advance(INTERVAL_MS)
         self.assertEqual([endpoint for endpoint, _ in self.placed], ["e2"])
 
