Read the store anew when it has come back from an older copy

Callers may be served with what was dropped, or not at all: a store that comes back from a copy some seconds old gives revisions out again, and a watch that goes on from a revision of before misses the changes up to it.

Cause: a revision was compared without the era that the store names in its answers.

Change: the port of the store has an era. The stand-in can come back from a copy, with revisions and leases given out again.

--- a/packages/mastickeel/src/mastickeel/errors.py
+++ b/packages/mastickeel/src/mastickeel/errors.py
@@ -206,6 +206,13 @@
     remedy = "Read the snapshot and the log after the snapshot, then watch from the revision read."
 
 
+class StoreEraChangedError(StoreCompactedError):
+    """Raised when the store has come back from an older copy since the revision was read."""
+
+    code = "store_era_changed"
+    remedy = "List the keys again; revisions of the earlier era mean nothing."
+
+
 class StoreBudgetError(StoreUnavailableError):
     """Raised when the instance has used up its own budget of calls per second."""
 
--- a/packages/mastickeel/src/mastickeel/keyvalue.py
+++ b/packages/mastickeel/src/mastickeel/keyvalue.py
@@ -42,6 +42,7 @@
     HttpRequest,
     Timeouts,
 )
+from mastickeel.storeera import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -102,6 +103,8 @@
         """
         self.calls = 0
         """Number of calls made so far; a watch counts as one."""
+        self.era = StoreEra()
+        """The service's era, which it does not name."""
         self.budget = CallBudget(clock, calls_per_second)
         """The budget of calls."""
         self._client = client
--- a/packages/mastickeel/src/mastickeel/storeport.py
+++ b/packages/mastickeel/src/mastickeel/storeport.py
@@ -17,6 +17,7 @@
         TxnResult,
         WatchBatch,
     )
+    from mastickeel.storeera import StoreEra
 
 
 class Store(Protocol):
@@ -25,6 +26,10 @@
     Every method may raise a ``StoreError``.
     """
 
+    @property
+    def era(self) -> StoreEra:
+        """The store's era; never known for a store that does not name it."""
+
     async def get(self, key: str) -> KeyValue | None:
         """Reads one key; returns None when the key does not exist."""
 
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -48,6 +48,9 @@
     """Called when the store stops answering."""
     on_recovery: Callable[[], None] = lambda: None
     """Called when the store answers again."""
+    on_new_era: Callable[[], None] = lambda: None
+    """Called before a list that may be older than what was read before, as the store has come back
+    from an older copy."""
 
 
 def combine_handlers(handlers_by_prefix: dict[str, WatchHandler]) -> WatchHandler:
@@ -83,7 +86,11 @@
         for handler in handlers_by_prefix.values():
             handler.on_recovery()
 
-    return WatchHandler(on_list, on_put, on_delete, on_outage, on_recovery)
+    def on_new_era() -> None:
+        for handler in handlers_by_prefix.values():
+            handler.on_new_era()
+
+    return WatchHandler(on_list, on_put, on_delete, on_outage, on_recovery, on_new_era)
 
 
 async def follow_prefix(
@@ -124,12 +131,19 @@
         self._handler = handler
         self._clock = clock
         self._down = False
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Lists the prefix if no revision is known, then watches it until the watch ends."""
+        era = self._store.era
+        if self._era != era.number:
+            self.revision = None
         if self.revision is None:
             listed: RangeResult = await self._store.range(self._prefix, prefix=True)
             self._record_answer()
+            if self._era is not None and self._era != era.number:
+                self._handler.on_new_era()
+            self._era = era.number
             self._handler.on_list(listed.items, listed.revision)
             self.revision = listed.revision
         has_changes = False
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/counted_store.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/counted_store.py
@@ -11,6 +11,7 @@
 
     from mastickeel import _kvtypes as kv
     from mastickeel.clock import Clock
+    from mastickeel.storeera import StoreEra
     from mastickeel.storeport import Store
 
 R = TypeVar("R")
@@ -32,6 +33,11 @@
         self._clock = clock
         self._on_call = on_call
 
+    @property
+    def era(self) -> StoreEra:
+        """The era of the wrapped store."""
+        return self._store.era
+
     def age_ms(self) -> int | None:
         """Returns the time since the store's last answer; None before the first answer."""
         return None if self._last_answer_ms is None else self._clock.now() - self._last_answer_ms
--- a/tests/mastickeel_platform/standins.py
+++ b/tests/mastickeel_platform/standins.py
@@ -146,6 +146,16 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of the store at an earlier time."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    leases: dict[int, int]
+
+
 @dataclass
 class FakeStore:
     """The platform's metadata store in memory."""
@@ -161,6 +171,7 @@
     """Whether calls are left unanswered."""
     page_size: int = 500
     leases: dict[int, int] = field(default_factory=dict)
+    era: int = 1
     calls: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -198,6 +209,16 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the store as it is now."""
+        return StoreCopy(self.revision, dict(self.items), list(self.history), dict(self.leases))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from an older copy; revisions and lease ids are given out again."""
+        self.revision, self.items = copy.revision, dict(copy.items)
+        self.history, self.leases = list(copy.history), dict(copy.leases)
+        self.era += 1
+
     async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
         self.calls.append(f"{request.method} {urlsplit(request.target).path}")
         if self.silent:
@@ -207,6 +228,7 @@
             status, body = await self._handle(request)
         data = json.dumps(body).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+        head += f"Store-Era: {self.era}\r\n"
         writer.write(head.encode() + f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
 
     async def _handle(self, request: Request) -> tuple[int, dict[str, Any]]:
@@ -251,7 +273,7 @@
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after_revision"])
         for pause_s in (*[WATCH_POLL_S] * WATCH_POLLS, 0):
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             events = [
                 event
--- a/tests/mastickeel_router/memorystore.py
+++ b/tests/mastickeel_router/memorystore.py
@@ -16,6 +16,7 @@
     TxnResult,
     WatchBatch,
 )
+from mastickeel.storeera import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -25,6 +26,7 @@
     """Store shared by all instances of a test."""
 
     def __init__(self) -> None:
+        self.era = StoreEra()
         self.is_down = False
         self.compacted_revision = 0
         self.watch_polls = 0
