Do not use an endpoint again that was draining or gone before an older list

Cause: the list of a store from an older copy says that an endpoint is ready which has drained or gone since; the registry took it as the newest word.

Change: for the first list of an era, an entry of the same start (or an earlier one) of an endpoint that was draining or gone does not count, and an endpoint that the list lacks has the grace time of an outage. Later writes count.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,6 +19,9 @@
 """Time after an outage of the store for which entries that expired because of it are kept: the two
 seconds in which live endpoints register again, and the delay of a watch."""
 
+MAX_ENDED = 4_096
+"""Maximum number of endpoints that are gone whose starts are remembered."""
+
 ENDPOINT_FOUND = define_event(2320, "endpoint_found", "info", "An endpoint registered itself.")
 ENDPOINT_CHANGED = define_event(2321, "endpoint_changed", "info", "An endpoint's entry changed.")
 ENDPOINT_REMOVED = define_event(
@@ -67,12 +70,19 @@
         self._records_by_id: dict[str, EndpointRecord] = {}
         self._ids_by_service: dict[str, dict[str, None]] = defaultdict(dict)
         self._expired_ms_by_id: dict[str, int] = {}
+        self._ended_starts_by_id: OrderedDict[str, int] = OrderedDict()
         self._outage = False
+        self._list_is_older = False
         self._grace_deadline_ms = 0
 
     def replace(self, records: Iterable[EndpointRecord], revision: int) -> None:
         """Replaces all entries; removes the endpoints without an entry in `records`."""
-        records_by_id = {record.id: record for record in records}
+        records_by_id = {
+            record.id: record
+            for record in records
+            if not self._list_is_older or not self._is_outdated(record)
+        }
+        self._list_is_older = False
         for endpoint_id in list(self._records_by_id):
             if endpoint_id not in records_by_id:
                 self.remove(endpoint_id, revision)
@@ -124,6 +134,15 @@
         self._outage = False
         self._grace_deadline_ms = self._clock.now() + OUTAGE_GRACE_MS
 
+    def begin_era(self) -> None:
+        """Records that the next list comes from an older copy of the store.
+
+        What it says of an endpoint that was draining or gone since does not count, and endpoints
+        that it lacks have the grace time to register again.
+        """
+        self._list_is_older = True
+        self._grace_deadline_ms = self._clock.now() + OUTAGE_GRACE_MS
+
     def usable(self, service: str) -> list[EndpointRecord]:
         """Returns the endpoints of a service that accept requests: all but draining ones."""
         self._remove_expired()
@@ -150,9 +169,23 @@
         for endpoint_id in list(self._expired_ms_by_id):
             self._remove_record(self._records_by_id[endpoint_id], 0)
 
+    def _is_outdated(self, record: EndpointRecord) -> bool:
+        """Returns whether an endpoint was draining, gone or restarted after it wrote an entry."""
+        if self._ended_starts_by_id.get(record.id, -1) >= record.started_ms:
+            return True
+        known = self._records_by_id.get(record.id)
+        if known is None:
+            return False
+        is_same = known.started_ms == record.started_ms
+        return known.started_ms > record.started_ms or (is_same and known.draining)
+
     def _remove_record(self, record: EndpointRecord, revision: int) -> None:
         self._expired_ms_by_id.pop(record.id, None)
         del self._records_by_id[record.id]
+        self._ended_starts_by_id[record.id] = record.started_ms
+        self._ended_starts_by_id.move_to_end(record.id)
+        if len(self._ended_starts_by_id) > MAX_ENDED:
+            self._ended_starts_by_id.popitem(last=False)
         self._ids_by_service[record.service].pop(record.id, None)
         self._end_lifetime(record.id)
         log(ENDPOINT_REMOVED, endpoint=record.id, service=record.service, revision=revision)
--- a/tests/mastickeel_router/discovery/test_registry.py
+++ b/tests/mastickeel_router/discovery/test_registry.py
@@ -77,6 +77,27 @@
         self.registry.remove("e1", 2)
         self.assertIsNone(self.registry.get("e1"))
 
+    def test_older_list_does_not_bring_back_an_endpoint_that_was_draining_or_gone(self) -> None:
+        others = [replace(RECORD, id=f"e{number}") for number in (2, 3)]
+        self.registry.replace([RECORD, *others], 1)
+        self.registry.put(replace(RECORD, draining=True), 2)
+        self.registry.remove("e2", 3)
+        self.registry.put(replace(RECORD, id="e3", started_ms=8), 4)
+        self.registry.begin_era()
+        self.registry.replace([RECORD, *others], 1)
+        self.assertEqual(self.usable(), ["e3"])
+        self.assertEqual(self.registry.get("e3"), replace(RECORD, id="e3", started_ms=8))
+        self.registry.put(replace(RECORD, id="e2", started_ms=9), 2)
+        self.assertEqual(self.usable(), ["e3", "e2"])
+
+    async def test_endpoint_that_an_older_list_lacks_has_the_grace_time(self) -> None:
+        self.registry.replace([RECORD], 1)
+        self.registry.begin_era()
+        self.registry.replace([], 1)
+        self.assertEqual(self.usable(), ["e1"])
+        await self.clock.advance(OUTAGE_GRACE_MS)
+        self.assertEqual(self.usable(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
