End a duty with the era of the store, and fence its writes by a key of their own

Cause: the fencing token of a duty is the revision of its key. A store from an older copy gives that revision out again, perhaps to another holder, and the lease's id too: the former holder could renew the other's lease and write.

Change: a new era ends the hold and its work at once. A holder also creates a key that no other hold has, and its writes are conditional on that key.

Measured: two new tests; the write of the former holder succeeded before under a token given out again (the condition named the duty's key, which the other holder has at the same revision).

--- a/packages/mastickeel_router/src/mastickeel_router/duties.py
+++ b/packages/mastickeel_router/src/mastickeel_router/duties.py
@@ -89,8 +89,8 @@
         self.name = name
         """Name of the duty."""
         self.key = f"{prefix}/duties/{name}"
-        """Key of the duty in the store, for transactions that must fail once another instance
-        holds the duty."""
+        """Key of the duty in the store; exists while the duty is held."""
+        self._proofs_prefix = f"{prefix}/holds/{name}/"
         self._instance_id = instance_id
         self._store = store
         self._clock = clock
@@ -98,8 +98,10 @@
         self._timing = timing
         self._lease_id = 0
         self._fencing_token = 0
+        self._proof_key = ""
         self._deadline_ms = 0
         self._vacancy = asyncio.Event()
+        self._era_began = asyncio.Event()
         self._seen_held_ms: int | None = None
 
     @property
@@ -108,8 +110,12 @@
         return self._fencing_token if self._clock.now() < self._deadline_ms else None
 
     def held_condition(self) -> Compare:
-        """Returns the condition for store writes that only the duty's holder may make."""
-        return Compare(self.key, "MOD", self._fencing_token)
+        """Returns the condition for store writes that only the duty's holder may make.
+
+        The condition names a key that no other hold has: a store that has come back from an older
+        copy gives the revision of the duty's key out again.
+        """
+        return Compare(self._proof_key, "MOD", self._fencing_token)
 
     async def run(self, work: Callable[[], Awaitable[None]]) -> None:
         """Campaigns for the duty and runs the work while it is held, until cancelled.
@@ -137,6 +143,13 @@
         self._seen_held_ms = None
         self._vacancy.set()
 
+    def record_new_era(self) -> None:
+        """Ends the hold: the store has come back from an older copy, and its leases may be gone."""
+        self._deadline_ms = 0
+        self._lease_id = 0
+        self._seen_held_ms = None
+        self._era_began.set()
+
     async def release(self) -> None:
         """Releases the duty by revoking its lease, so that another instance can hold it."""
         self._deadline_ms = 0
@@ -168,16 +181,22 @@
             if self._seen_held_ms is not None:
                 self.record_holder()
             return False
-        requested_ms = self._clock.now()
+        requested_ms, era = self._clock.now(), self._store.era.number
         lease = await self._store.grant(self._timing.ttl_seconds)
-        put = Put(self.key, self._instance_id.encode(), lease)
+        proof_key = f"{self._proofs_prefix}{self._instance_id}.{self._clock.wall()}"
+        holder = self._instance_id.encode()
+        puts = (Put(self.key, holder, lease), Put(proof_key, holder, lease))
         vacant = Compare(self.key, "CREATE", 0)
-        result = await self._store.txn((vacant,), (put,), (Get(self.key),))
+        result = await self._store.txn((vacant,), puts, (Get(self.key),))
+        if self._store.era.number != era:
+            return False
         if not result.succeeded:
             await self._store.revoke(lease)
             return False
         self._lease_id = lease
         self._fencing_token = result.revision
+        self._proof_key = proof_key
+        self._era_began.clear()
         self._extend_hold(requested_ms)
         return True
 
@@ -187,10 +206,12 @@
         try:
             while not task.done() and await self._renew():
                 timer = asyncio.ensure_future(self._clock.sleep(self._timing.renew_interval_ms))
+                new_era = asyncio.ensure_future(self._era_began.wait())
                 try:
-                    await asyncio.wait([task, timer], return_when=asyncio.FIRST_COMPLETED)
+                    await asyncio.wait([task, timer, new_era], return_when=asyncio.FIRST_COMPLETED)
                 finally:
                     timer.cancel()
+                    new_era.cancel()
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
@@ -199,9 +220,11 @@
 
     async def _renew(self) -> bool:
         """Renews the lease; returns False once it may have expired."""
-        requested_ms = self._clock.now()
+        requested_ms, lease = self._clock.now(), self._lease_id
+        if not lease:
+            return False
         try:
-            if not await self._store.keep_alive(self._lease_id):
+            if not await self._store.keep_alive(lease) or lease != self._lease_id:
                 return False
             self._extend_hold(requested_ms)
         except StoreError:
