Register an instance again when the store has come back from an older copy

Cause: an instance renews its lease by id. After the store has lost the lease, the id may belong to another instance: the renewal succeeds, and the entry stays missing.

Change: a new era makes each instance register anew, spread over half a second.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
+import xxhash
 
 from mastickeel.addresses import Address
 from mastickeel.errors import StoreError
@@ -30,6 +32,9 @@
 """Interval of retries while the store does not answer; no request waits for the notifications of
 peers, which are only hints."""
 
+REGISTER_JITTER_MS = 500
+"""Time over which the instances spread their registrations after the store has come back from an
+older copy."""
 RECENT_MS = 15_000
 """Time for which a removed peer is still counted among the recent ones: above the lease, so that
 all instances forget a peer only after each of them has lost it."""
@@ -89,6 +94,8 @@
         self._host = host
         self._traits = traits
         self._clock = clock
+        self._era_began = asyncio.Event()
+        store.era.on_change.append(lambda era: self._era_began.set())
 
     @property
     def recent_peer_ids(self) -> tuple[str, ...]:
@@ -104,14 +111,29 @@
     async def keep_registered(self) -> None:
         """Writes this instance's entry and renews its lease until cancelled."""
         while True:
+            self._era_began.clear()
             try:
                 lease = await self._register()
-                while await self._store.keep_alive(lease):
-                    await self._clock.sleep(RENEW_INTERVAL_MS)
+                while await self._store.keep_alive(lease) and not await self._wait_for_new_era():
+                    pass
             except StoreError as error:
                 log(NOT_REGISTERED, error=str(error))
                 await self._clock.sleep(RETRY_INTERVAL_MS)
 
+    async def _wait_for_new_era(self) -> bool:
+        """Waits for the next renewal; returns True early if the store has lost its newest writes.
+
+        The entry may be among them, and the lease's id may be given to another instance.
+        """
+        try:
+            await self._clock.wait_for(self._era_began.wait(), RENEW_INTERVAL_MS)
+        except TimeoutError:
+            return False
+        await self._clock.sleep(
+            xxhash.xxh3_64_intdigest(self._link.instance_id.encode()) % REGISTER_JITTER_MS
+        )
+        return True
+
     def entry_handler(self) -> WatchHandler:
         """Returns the handler of the entries' keys in the store."""
         return WatchHandler(
