Keep releases where they were when the store has come back from an older copy

Callers could be served by a version that was reverted: an order that the store has lost opened its target to all requests, and a plan from the older copy took back the share or state.

Cause: orders were compared by revision alone, and a plan or list that was read replaced what was known.

Change: plans do not go back under one order; the list of a new era neither removes nor replaces orders; an order written again with the same content keeps its progress under its new revision; the holder of the duty writes a plan and state that the store does not have, also of a release that has ended.

--- a/packages/mastickeel_router/src/mastickeel_router/releases/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/model.py
@@ -41,6 +41,14 @@
     began_wall_ms: int = 0
     """Wall-clock time at which the order was first seen, in Unix milliseconds."""
 
+    def is_ahead_of(self, other: ReleasePlan) -> bool:
+        """Returns whether this plan replaced the other one: releases never go back."""
+        if self.order_revision != other.order_revision:
+            return False
+        if self.state is not ReleaseState.RUNNING:
+            return True
+        return other.state is ReleaseState.RUNNING and self.share > other.share
+
 
 @message("release_evidence")
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -51,6 +51,12 @@
 keep their version in the first half, and the rest is a margin."""
 
 ORDER_APPLIED = define_event(2360, "release_ordered", "info", "The operator ordered a release.")
+ORDER_RENUMBERED = define_event(
+    2366,
+    "release_order_renumbered",
+    "info",
+    "The operator wrote a release's order again after the store had lost it; the release goes on.",
+)
 PLAN_APPLIED = define_event(
     2361, "release_plan", "info", "This instance has read a new share or state of a release."
 )
@@ -109,7 +115,10 @@
         self._orders_by_service: dict[str, ReleaseOrder] = {}
         self._order_received_ms_by_service: dict[str, int] = {}
         self._ordered_while_running: set[str] = set()
+        self._order_eras_by_service: dict[str, int | None] = {}
         self._plans_by_service: dict[str, ReleasePlan] = {}
+        self._stored_plans_by_service: dict[str, ReleasePlan] = {}
+        self._list_is_older = False
         self._counts_by_service: dict[str, dict[str, Block]] = {}
         self._reported_by_service: dict[str, dict[str, Block]] = {}
         self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
@@ -127,9 +136,10 @@
             store=self._store,
             prefix=prefix,
             clock=clock,
-            is_candidate=lambda: bool(self._running()) and not self._leaving,
+            is_candidate=lambda: bool(self._unsettled()) and not self._leaving,
             timing=DUTY_TIMING,
         )
+        self._store.era.on_change.append(lambda era: self._duty.record_new_era())
 
     @property
     def ready(self) -> bool:
@@ -138,10 +148,18 @@
 
     def apply_order(self, order: ReleaseOrder) -> None:
         """Applies an order of the operator if it is newer than the service's current order."""
-        known = self._orders_by_service.get(order.service)
-        if known is not None and known.revision >= order.revision:
-            return
+        known, era = self._orders_by_service.get(order.service), self._store.era.number
+        if known is not None:
+            if self._order_eras_by_service[order.service] == era:
+                if known.revision >= order.revision:
+                    return
+            elif known == replace(order, revision=known.revision):
+                self._renumber_order(known, order)
+                return
+            elif self._list_is_older:
+                return
         self._orders_by_service[order.service] = order
+        self._order_eras_by_service[order.service] = era
         self._order_received_ms_by_service[order.service] = self._clock.now()
         if self._plans_read:
             self._ordered_while_running.add(order.service)
@@ -154,8 +172,19 @@
             revision=order.revision,
         )
 
+    def begin_era(self) -> None:
+        """Records that the next list comes from an older copy of the store.
+
+        Orders that it lacks, or that it has in an older form, stay until the operator's next write.
+        """
+        self._list_is_older = True
+        self._stored_plans_by_service.clear()
+
     def retain_orders(self, services: set[str]) -> None:
         """Removes the orders of all services that are not in `services`."""
+        if self._list_is_older:
+            self._list_is_older = False
+            return
         for service in set(self._orders_by_service) - services:
             self.remove_order(service)
 
@@ -165,6 +194,21 @@
         if plan is None or plan.state is not ReleaseState.REVERTED:
             self._orders_by_service.pop(service, None)
 
+    def _renumber_order(self, known: ReleaseOrder, order: ReleaseOrder) -> None:
+        """Keeps the progress of an order that the operator has written again in a new era."""
+        service = order.service
+        plan = self._plan(service)
+        _, comparison = self._comparisons_by_service.get(service, (0, VersionComparison()))
+        self._orders_by_service[service] = order
+        self._order_eras_by_service[service] = self._store.era.number
+        self._comparisons_by_service[service] = (order.revision, comparison)
+        if plan is not None:
+            self._plans_by_service[service] = replace(plan, order_revision=order.revision)
+        for key, evidence in self._evidence_by_instance.items():
+            if key[0] == service and evidence.order_revision == known.revision:
+                self._evidence_by_instance[key] = replace(evidence, order_revision=order.revision)
+        log(ORDER_RENUMBERED, service=service, revision=order.revision, before=known.revision)
+
     def select_endpoints(
         self,
         service: str,
@@ -313,6 +357,16 @@
         name = f"{request.session or request.id}\0{order.target}"
         return xxhash.xxh3_64_intdigest(name.encode()) / HASH_SPAN < share
 
+    def _unsettled(self) -> list[str]:
+        """Returns the services whose releases run, or whose plans the store does not have."""
+        running = self._running()
+        return running + [
+            service
+            for service in self._orders_by_service
+            if service not in running
+            and self._plan(service) != self._stored_plans_by_service.get(service)
+        ]
+
     def _since_order_ms(self, order: ReleaseOrder) -> int:
         return self._clock.now() - self._order_received_ms_by_service[order.service]
 
@@ -337,7 +391,9 @@
         except msgspec.MsgspecError as error:
             log(PLAN_UNREADABLE, key=item.key, error=str(error))
             return
-        if self._plans_by_service.get(plan.service) == plan:
+        self._stored_plans_by_service[plan.service] = plan
+        known = self._plans_by_service.get(plan.service)
+        if known is not None and (known == plan or known.is_ahead_of(plan)):
             return
         self._plans_by_service[plan.service] = plan
         log(
@@ -369,7 +425,7 @@
     async def _lead_releases(self) -> None:
         """Advances each running release while this instance holds the duty."""
         while True:
-            for service in self._running():
+            for service in self._unsettled():
                 try:
                     await self._advance_release(self._orders_by_service[service])
                 except StoreError as error:
@@ -391,7 +447,7 @@
             is_bad=comparison.is_bad,
             is_suspect=comparison.is_suspect,
         )
-        if next_plan == plan:
+        if next_plan == plan == self._stored_plans_by_service.get(order.service):
             return
         await self._write_plan(key, order, next_plan)
 
@@ -430,6 +486,7 @@
                 fencing=self._duty.fencing_token,
             )
             self._plans_by_service[plan.service] = plan
+            self._stored_plans_by_service[plan.service] = plan
 
 
 def _is_informative(observation: SendObservation) -> bool:
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -11,11 +11,12 @@
 from typing import Any
 from unittest.mock import patch
 
+import msgspec
 from tornado.httputil import HTTPHeaders
 
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
-from mastickeel.keyvalue import Put
+from mastickeel.keyvalue import KeyValue, Put
 from mastickeel_router.discovery import EndpointRecord, follow_prefix
 from mastickeel_router.duties import CAMPAIGN_JITTER_MS, HELD_POLL_INTERVAL_MS
 from mastickeel_router.gateway import Deployment
@@ -24,6 +25,7 @@
 from mastickeel_router.relay.types import CallerRequest, RequestHead
 from mastickeel_router.releases import EvidenceReport, ReleaseOrder, Releases
 from mastickeel_router.releases.decision import VersionComparison
+from mastickeel_router.releases.model import ReleasePlan
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
 
@@ -41,33 +43,32 @@
     )
 
 
+def make_releases(name: str, store: MemoryStore, clock: FakeClock) -> Releases:
+    """Creates the releases of one instance."""
+    deployment = Deployment(
+        store=store,
+        write_release_state=lambda order, state: Put(f"status/{order.service}", state.encode()),
+        **dict.fromkeys(
+            (
+                "dialect",
+                "operator_prefix",
+                "entries_prefix",
+                "read_operator_item",
+                "read_entry",
+                "parse_order_key",
+                "parse_entry_key",
+            )
+        ),
+    )
+    return Releases(deployment, instance_id=name, prefix="/m", clock=clock, session_gap_ms=5_000)
+
+
 class Instance:
     """The releases of one instance with their background tasks."""
 
     def __init__(self, name: str, store: MemoryStore, clock: FakeClock) -> None:
         self.name = name
-        deployment = Deployment(
-            store=store,
-            write_release_state=lambda order, state: Put(f"status/{order.service}", state.encode()),
-            **dict.fromkeys(
-                (
-                    "dialect",
-                    "operator_prefix",
-                    "entries_prefix",
-                    "read_operator_item",
-                    "read_entry",
-                    "parse_order_key",
-                    "parse_entry_key",
-                )
-            ),
-        )
-        self.releases = Releases(
-            deployment,
-            instance_id=name,
-            prefix="/m",
-            clock=clock,
-            session_gap_ms=5_000,
-        )
+        self.releases = make_releases(name, store, clock)
         rng = random.Random(name)
         work = [start() for start in self.releases.work_by_name().values()]
         plans, prefix = self.releases.plan_handler(), self.releases.plans_prefix
@@ -308,5 +309,41 @@
         self.assertEqual(await self.state(), "complete")
 
 
+class EraTest(unittest.TestCase):
+    """The store comes back from an older copy during a release."""
+
+    def setUp(self) -> None:
+        self.store = MemoryStore()
+        self.store.era.observe(1)
+        self.releases = make_releases("i0", self.store, FakeClock())
+        self.order = ReleaseOrder("s", "v2", DURATION_MS, revision=9)
+        self.releases.apply_order(self.order)
+        self.apply_plan(ReleasePlan("s", "v2", 9, share=0.5))
+        self.store.era.observe(2)
+        self.releases.begin_era()
+
+    def apply_plan(self, plan: ReleasePlan) -> None:
+        value = msgspec.json.encode(plan)
+        self.releases.plan_handler().on_list((KeyValue("/m/releases/s", value, 7, 7, 0),), 7)
+
+    def test_older_plan_does_not_take_back_the_share(self) -> None:
+        self.apply_plan(ReleasePlan("s", "v2", 9, share=0.25))
+        self.assertEqual(self.releases.share, 0.5)
+        self.assertEqual(self.releases._unsettled(), ["s"])
+
+    def test_order_written_again_under_another_revision_keeps_its_progress(self) -> None:
+        for revision in (9, 4, 30):
+            self.store.era.observe((self.store.era.number or 0) + 1)
+            self.releases.apply_order(replace(self.order, revision=revision))
+            self.assertEqual(self.releases.share, 0.5)
+
+    def test_older_order_in_the_list_does_not_replace_the_newer_one(self) -> None:
+        self.releases.apply_order(ReleaseOrder("s", "v0", DURATION_MS, revision=3))
+        self.releases.retain_orders(set())
+        self.assertEqual(self.releases._orders_by_service["s"], self.order)
+        self.releases.apply_order(ReleaseOrder("s", "v3", DURATION_MS, revision=5))
+        self.assertEqual(self.releases._orders_by_service["s"].target, "v3")
+
+
 if __name__ == "__main__":
     unittest.main()
