--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -5,6 +5,7 @@
 from mastickeel_router.fleet.sharing import (
     serve_permits,
     share_crashes,
+    share_era,
     share_evidence,
     share_limits,
     share_loads,
@@ -17,6 +18,7 @@
     "PeerTraits",
     "serve_permits",
     "share_crashes",
+    "share_era",
     "share_evidence",
     "share_limits",
     "share_loads",
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from mastickeel.peers import PeerLink
+    from mastickeel.storeera import StoreEra
     from mastickeel_router.fleet.broadcast import Broadcast
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
@@ -35,6 +36,14 @@
     version: str
 
 
+@message("store_era")
+@dataclass(frozen=True)
+class StoreEraNotice:
+    """Notification to peers that the store has come back from an older copy."""
+
+    era: int
+
+
 def share_loads(
     broadcast: Broadcast,
     loads: EndpointLoads,
@@ -85,6 +94,12 @@
     )
 
 
+def share_era(broadcast: Broadcast, era: StoreEra) -> None:
+    """Sends a new era of the store to the peers, which may learn of it before the store answers."""
+    era.on_change.append(lambda number: broadcast.publish(StoreEraNotice(number)))
+    broadcast.register_handler(StoreEraNotice, lambda sender, notice: era.observe(notice.era))
+
+
 def share_limits(
     broadcast: Broadcast, limits: EndpointLimits, is_listed: Callable[[str], bool]
 ) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -26,6 +26,7 @@
     PeerTraits,
     serve_permits,
     share_crashes,
+    share_era,
     share_evidence,
     share_limits,
     share_loads,
@@ -316,6 +317,7 @@
         share_evidence(broadcast, self.releases)
         share_sessions(broadcast, self.releases.sessions)
         share_crashes(broadcast, self.crashes)
+        share_era(broadcast, self._store.era)
         share_limits(
             broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
         )
@@ -373,6 +375,9 @@
         metrics.add_gauge(
             "store_silent_seconds", "Since the store last answered", self._store_silence_s
         )
+        metrics.add_gauge(
+            "store_era", "Era of the store; 0 if not known", lambda: self._store.era.number or 0
+        )
         metrics.add_gauge("processor_seconds", "Processor time since the start", time.process_time)
         peer_totals = self._peer_metrics.totals_by_name
         for name, description in PEER_COUNTERS.items():
@@ -412,7 +417,9 @@
             if service := self._deployment.parse_order_key(key):
                 self.releases.remove_order(service)
 
-        return WatchHandler(on_list, self._apply_operator_item, on_delete)
+        return WatchHandler(
+            on_list, self._apply_operator_item, on_delete, on_new_era=self.releases.begin_era
+        )
 
     def _apply_operator_item(self, item: KeyValue) -> None:
         """Applies a value of the operator; logs and ignores an undecodable one."""
@@ -448,4 +455,11 @@
         def on_delete(key: str, revision: int) -> None:
             registry.remove(deployment.parse_entry_key(key), revision)
 
-        return WatchHandler(on_list, on_put, on_delete, registry.begin_outage, registry.end_outage)
+        return WatchHandler(
+            on_list,
+            on_put,
+            on_delete,
+            registry.begin_outage,
+            registry.end_outage,
+            registry.begin_era,
+        )
