Soak: another fault may end a process before it listens

By reading: the driver lets a second fault pick a process that is still starting, and took its end for a failed start.

Change: an end that another fault brought is expected; any other names the exit code.

--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -181,7 +181,7 @@
         path = folder / f"{instance.id}.conf"
         text = SETTINGS.format(port=self._store.server.port).replace("edge-1", instance.id)
         path.write_text(text.replace('level = "error"', 'level = "info"') + PEERS)
-        instance.process = await asyncio.create_subprocess_exec(
+        process = instance.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "mastickeel_platform",
@@ -190,16 +190,20 @@
             stdout=asyncio.subprocess.PIPE,
         )
         await self._clock.wait_for(self._read_port(instance), START_TIMEOUT_MS)
-        self._tasks.start(_discard(instance.process.stdout))
+        self._tasks.start(_discard(process.stdout))
 
     async def _read_port(self, instance: Instance) -> None:
-        assert instance.process is not None and instance.process.stdout is not None
-        async for line in instance.process.stdout:
+        """Reads the port from the log; another fault may end the process before it listens."""
+        process = instance.process
+        assert process is not None and process.stdout is not None
+        async for line in process.stdout:
             record = json.loads(line)
             if record["event"] == "started":
                 instance.port = record["callers"]
                 return
-        raise RuntimeError(f"{instance.id} ended before it listened")
+        code = await process.wait()
+        if instance.process is process:
+            raise RuntimeError(f"{instance.id} ended before it listened, with code {code}")
 
     async def _send_on_new(self, instance: Instance) -> None:
         """Sends requests on new connections until the run ends."""
