Keep what the store has lost for instances that start before it is written again

Callers could be served under a key or route that was withdrawn, by an endpoint that was draining or gone, or by a version that was reverted, on an instance that starts just after the store has come back from an older copy.

Cause: such an instance knows the older copy alone.

Change: one of the instances that were running writes the operator's values in force and the endpoints that were draining or gone to the store, under a lease of 60 s; a newcomer reads it before the lists. What the operator and the endpoints write afterwards counts again.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
@@ -10,7 +10,7 @@
 from mastickeel.logs import log
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
@@ -19,6 +19,8 @@
 """Time after an outage of the store for which entries that expired because of it are kept: the two
 seconds in which live endpoints register again, and the delay of a watch."""
 
+RECENTLY_ENDED_MS = 60_000
+"""Time for which other instances are told of an end: above the age of a copy of the store."""
 MAX_ENDED = 4_096
 """Maximum number of endpoints that are gone whose starts are remembered."""
 
@@ -53,6 +55,15 @@
     """Time left until the endpoint reaches full speed after its start."""
 
 
+@dataclass(frozen=True)
+class _Ended:
+    """End of one start of an endpoint."""
+
+    started_ms: int
+    at_ms: int
+    """Clock time at which the endpoint was removed."""
+
+
 class EndpointRegistry:
     """Endpoints by id, according to their entries in the store."""
 
@@ -70,7 +81,7 @@
         self._records_by_id: dict[str, EndpointRecord] = {}
         self._ids_by_service: dict[str, dict[str, None]] = defaultdict(dict)
         self._expired_ms_by_id: dict[str, int] = {}
-        self._ended_starts_by_id: OrderedDict[str, int] = OrderedDict()
+        self._ended_by_id: OrderedDict[str, _Ended] = OrderedDict()
         self._outage = False
         self._list_is_older = False
         self._grace_deadline_ms = 0
@@ -169,9 +180,38 @@
         for endpoint_id in list(self._expired_ms_by_id):
             self._remove_record(self._records_by_id[endpoint_id], 0)
 
+    def list_ended(self) -> dict[str, int]:
+        """Returns the starts of the endpoints that are draining or were removed recently, by id."""
+        oldest_ms = self._clock.now() - RECENTLY_ENDED_MS
+        ended = {
+            endpoint_id: ended.started_ms
+            for endpoint_id, ended in self._ended_by_id.items()
+            if ended.at_ms >= oldest_ms
+        }
+        draining = (record for record in self._records_by_id.values() if record.draining)
+        return ended | {record.id: record.started_ms for record in draining}
+
+    def record_ended(self, starts_by_id: Mapping[str, int]) -> None:
+        """Removes endpoints that another instance knows to be draining or gone.
+
+        An endpoint that writes its entry after that is used again.
+        """
+        for endpoint_id, started_ms in starts_by_id.items():
+            self._record_end(endpoint_id, started_ms)
+            record = self._records_by_id.get(endpoint_id)
+            if record is not None and record.started_ms <= started_ms:
+                self._remove_record(record, 0)
+
+    def _record_end(self, endpoint_id: str, started_ms: int) -> None:
+        self._ended_by_id[endpoint_id] = _Ended(started_ms, self._clock.now())
+        self._ended_by_id.move_to_end(endpoint_id)
+        if len(self._ended_by_id) > MAX_ENDED:
+            self._ended_by_id.popitem(last=False)
+
     def _is_outdated(self, record: EndpointRecord) -> bool:
         """Returns whether an endpoint was draining, gone or restarted after it wrote an entry."""
-        if self._ended_starts_by_id.get(record.id, -1) >= record.started_ms:
+        ended = self._ended_by_id.get(record.id)
+        if ended is not None and ended.started_ms >= record.started_ms:
             return True
         known = self._records_by_id.get(record.id)
         if known is None:
@@ -182,10 +222,7 @@
     def _remove_record(self, record: EndpointRecord, revision: int) -> None:
         self._expired_ms_by_id.pop(record.id, None)
         del self._records_by_id[record.id]
-        self._ended_starts_by_id[record.id] = record.started_ms
-        self._ended_starts_by_id.move_to_end(record.id)
-        if len(self._ended_starts_by_id) > MAX_ENDED:
-            self._ended_starts_by_id.popitem(last=False)
+        self._record_end(record.id, record.started_ms)
         self._ids_by_service[record.service].pop(record.id, None)
         self._end_lifetime(record.id)
         log(ENDPOINT_REMOVED, endpoint=record.id, service=record.service, revision=revision)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel import events
+from mastickeel._kvtypes import KeyValue
 from mastickeel.errors import MastickeelError
 from mastickeel.events import define_event
 from mastickeel.httpclient import HttpClient
@@ -33,6 +34,7 @@
     share_sessions,
 )
 from mastickeel_router.gateway.counted_store import CountedStore
+from mastickeel_router.gateway.keeping import LostWrites
 from mastickeel_router.gateway.metrics import METRICS_PATH, GatewayMetrics
 from mastickeel_router.gateway.pages import Page, PageListener
 from mastickeel_router.placement import EndpointLoads
@@ -47,10 +49,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from mastickeel._kvtypes import KeyValue
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
     from mastickeel_router.gateway.deployment import Deployment
+    from mastickeel_router.gateway.keeping import KeptWrites
     from mastickeel_router.gateway.settings import GatewaySettings
     from mastickeel_router.relay.context import SendObservation
 
@@ -152,6 +154,16 @@
             session_gap_ms=settings.sessions.gap_ms,
         )
         """Releases under way; decide on which versions a request may run."""
+        self._lost_writes = LostWrites(
+            self._store,
+            instance_id=settings.instance.id,
+            prefix=settings.store.prefix,
+            clock=clock,
+            tasks=self._tasks,
+            list_peers=self._list_recent_peers,
+            list_ended=self.registry.list_ended,
+            apply=self._apply_lost_writes,
+        )
         self._peer_metrics = Metrics()
         self.permit_issuer = PermitIssuer(clock, self.limits)
         """Issues permits for the limited endpoints that this instance schedules."""
@@ -195,6 +207,8 @@
         """Starts following the store, and opens the listeners."""
         deployment = self._deployment
         handlers_by_prefix = {
+            # Comes first: what it says of the lists that follow has to be known before them.
+            self._lost_writes.key: self._lost_writes.handler(),
             deployment.operator_prefix: self._make_operator_handler(),
             deployment.entries_prefix: self._make_entry_handler(),
             self.releases.plans_prefix: self.releases.plan_handler(),
@@ -414,6 +428,7 @@
             self.releases.retain_orders(present_services)
 
         def on_delete(key: str, revision: int) -> None:
+            self._lost_writes.remove_value(key)
             if service := self._deployment.parse_order_key(key):
                 self.releases.remove_order(service)
 
@@ -421,7 +436,7 @@
             on_list, self._apply_operator_item, on_delete, on_new_era=self.releases.begin_era
         )
 
-    def _apply_operator_item(self, item: KeyValue) -> None:
+    def _apply_operator_item(self, item: KeyValue, *, is_kept: bool = False) -> None:
         """Applies a value of the operator; logs and ignores an undecodable one."""
         try:
             value = self._deployment.read_operator_item(item)
@@ -429,9 +444,23 @@
             log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=error.detail)
             return
         if isinstance(value, RoutingConfiguration):
-            self.table.install(value, item.mod_revision)
+            is_in_force = self.table.install(value, item.mod_revision)
         elif isinstance(value, ReleaseOrder):
-            self.releases.apply_order(value)
+            is_in_force = self.releases.apply_order(value, is_kept=is_kept)
+        else:
+            return
+        if is_in_force:
+            self._lost_writes.record_value(item)
+
+    def _apply_lost_writes(self, kept: KeptWrites, is_listed: bool) -> None:
+        """Applies what another instance has kept from before the store lost its newest writes."""
+        for item in kept.items:
+            value = KeyValue(item.key, item.value, item.revision, 0, 0)
+            self._apply_operator_item(value, is_kept=True)
+        if is_listed:
+            self.releases.begin_era()
+            self.registry.begin_era()
+        self.registry.record_ended(kept.ended_starts_by_id)
 
     def _make_entry_handler(self) -> WatchHandler:
         registry, deployment = self.registry, self._deployment
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -146,18 +146,30 @@
         """Whether this instance knows the plan of each release that it has an order for."""
         return self._plans_read or not self._running()
 
-    def apply_order(self, order: ReleaseOrder) -> None:
-        """Applies an order of the operator if it is newer than the service's current order."""
+    def apply_order(self, order: ReleaseOrder, *, is_kept: bool = False) -> bool:
+        """Applies an order of the operator if it is newer than the service's current order.
+
+        Args:
+            order: The order.
+            is_kept: Whether another instance has kept the order from an earlier era of the store.
+
+        Returns:
+            Whether the order is in force.
+        """
         known, era = self._orders_by_service.get(order.service), self._store.era.number
+        if is_kept:
+            if known is not None:
+                return False
+            era = None
         if known is not None:
             if self._order_eras_by_service[order.service] == era:
                 if known.revision >= order.revision:
-                    return
+                    return known == order
             elif known == replace(order, revision=known.revision):
                 self._renumber_order(known, order)
-                return
+                return True
             elif self._list_is_older:
-                return
+                return False
         self._orders_by_service[order.service] = order
         self._order_eras_by_service[order.service] = era
         self._order_received_ms_by_service[order.service] = self._clock.now()
@@ -171,6 +183,7 @@
             duration_ms=order.duration_ms,
             revision=order.revision,
         )
+        return True
 
     def begin_era(self) -> None:
         """Records that the next list comes from an older copy of the store.
--- a/tests/mastickeel_platform/test_store_era.py
+++ b/tests/mastickeel_platform/test_store_era.py
@@ -21,8 +21,10 @@
     FakeStore,
     Request,
     answer_bytes,
+    call,
     configuration,
     entry,
+    request_bytes,
     route,
 )
 
@@ -135,6 +137,43 @@
 class FleetEraTest(FleetTestCase):
     """Three gateways."""
 
+    async def test_newcomer_acts_on_the_older_copy_alone(self) -> None:
+        for version in ("v1", "v1", "v1", "v2"):
+            await self.add_endpoint(respond, version=version)
+        await self.start_fleet(GATEWAY_COUNT)
+        first = self.gateways[0]
+        await self.wait_until(lambda: len(first.registry.usable("register")) == 4)
+        copy = self.store.copy()
+        self.store.put("op/config", configuration(8, *self.ROUTES[1:]))
+        self.store.put("servers/i-1", self.store.read("servers/i-1") | {"state": "draining"})
+        self.store.delete("servers/i-2")
+        order = {"service": "register", "target": "v2", "duration_s": 60}
+        self.store.put(ORDER_KEY, order)
+        await self.wait_until(lambda: first.releases._plan("register") is not None)
+        for gateway in self.gateways:
+            await self.wait_until(lambda gateway=gateway: gateway.table.version == 8)
+            releases = gateway.releases
+            releases._comparison(releases._orders_by_service["register"])._found_bad = True
+        await self.wait_until(lambda: self.store.read(STATUS_KEY)["state"] == "reverted")
+        self.store.restore(copy)
+        await self.wait_until(lambda: self.store.read(first._lost_writes.key) is not None)
+        await self.wait_until(lambda: self.store.read(STATUS_KEY) is not None)
+        newcomer = await self.add_gateway(GATEWAY_COUNT + 1)
+        await self.wait_until(lambda: newcomer.ready)
+        bodies = {
+            (await call(newcomer.callers_port, request_bytes("/look/a", f"r{number}"))).body
+            for number in range(SEND_COUNT)
+        }
+        self.assertEqual(bodies, {b"i-3"})
+        self.assertEqual(newcomer.table.version, 8)
+        # One instance has written for all; the operator's next write counts again.
+        writes = self.store.calls.count("POST /kv-txn")
+        self.store.put(ORDER_KEY, order | {"target": "v1"})
+        await self.wait_until(
+            lambda: newcomer.releases._orders_by_service["register"].target == "v1"
+        )
+        self.assertLess(writes, 10 * GATEWAY_COUNT)
+
     async def test_instances_register_again_when_lease_ids_are_given_out_again(self) -> None:
         copy = self.store.copy()
         await self.start_fleet(GATEWAY_COUNT)
