Soak: the store comes back from an older copy

Change: a further fault takes the store away for up to 0.8 s and brings back its copy of 0.5 to 4 s before; operator and endpoints write again in any order, up to half a second after each other. An answer of 401, 403 or 404 is a violation, as the configuration never drops a route or key.

--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -54,6 +54,7 @@
 """Mean time between two requests of one client; each instance has two clients."""
 WORK_MS = (5, 60)
 FAULT_PAUSE_MS = 1_500
+CONFIGURATION = configuration(7, route("look", "safe", max_attempts=2))
 
 
 @dataclass(frozen=True)
@@ -136,7 +137,7 @@
         """Starts everything, breaks it for the duration, and checks what the endpoints got."""
         with tempfile.TemporaryDirectory() as folder:
             await self._store.server.start()
-            self._store.put("op/config", configuration(7, route("look", "safe", max_attempts=2)))
+            self._store.put("op/config", CONFIGURATION)
             for number in range(ENDPOINT_COUNT):
                 await self._add_endpoint(number)
             try:
@@ -250,6 +251,8 @@
             self._outcomes[type(error).__name__] += 1
             return False
         self._outcomes[str(got.status)] += 1
+        if got.status in (401, 403, 404):
+            self._violations.append(f"{request_id}: {got.status} though the route is there")
         if got.status == 503:
             self._refused_ids.add(request_id)
             if "retry-after" not in got.headers:
@@ -270,6 +273,7 @@
             "freeze": self._freeze,
             "store": self._lose_store,
             "entry": self._lose_entry,
+            "older": self._restore_older_copy,
         }
         for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
             endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
@@ -318,6 +322,22 @@
                 self._store.end_lease(lease)
         self._store.refusal_status = 0
 
+    async def _restore_older_copy(self) -> None:
+        """Lets the store come back from an older copy; its other writers then write again."""
+        copy = self._store.copy()
+        await self._clock.sleep(self._rng.uniform(500, 4_000))
+        self._store.refusal_status = 503
+        await self._clock.sleep(self._rng.uniform(0, 800))
+        self._store.restore(copy)
+        self._store.refusal_status = 0
+        writes = [("op/config", CONFIGURATION)] + [
+            (f"servers/{endpoint.id}", entry(endpoint.server.port)) for endpoint in self._endpoints
+        ]
+        self._rng.shuffle(writes)
+        for key, value in writes:
+            await self._clock.sleep(self._rng.uniform(0, 500))
+            self._store.put(key, value)
+
     async def _lose_entry(self) -> None:
         """Lets an endpoint's entry expire and come back while its process goes on."""
         key = f"servers/{self._rng.choice(self._endpoints).id}"
