Do not lose a lifted rate limit that was named just before

Callers may be refused by an instance that still believes in a limit, until its own next answer of that endpoint.

Cause: instances told each other once that a limit is lifted, and a receiver that had got a (delayed) notice of the limit within the last 500 ms dropped the word for good.

Change: the word counts when the 500 ms are over, unless the limit is named again meanwhile.

--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from mastickeel.events import define_event
@@ -18,8 +18,8 @@
     from mastickeel_router.relay.types import AnswerHead
 
 LIFT_HOLD_MS = 500
-"""Time after an answer that names a limit during which answers without one do not lift it: answers
-of other connections may have been written before it."""
+"""Time after an answer that names a limit before which an answer without one does not end it:
+answers of other connections may have been written before it."""
 MAX_LIMITS = 4_096
 """Maximum number of limits; the oldest are dropped. A limit outlives the endpoint's entry in the
 store, which may expire in an outage while the endpoint's process goes on."""
@@ -57,6 +57,8 @@
     """Clock time at which this instance last learned of the limit."""
     notified_ms: int
     """Clock time of the last notice from this instance to its peers."""
+    lifts_ms: int | None = None
+    """Clock time at which the limit ends unless it is named again; None while it is in force."""
 
 
 class EndpointLimits:
@@ -82,6 +84,8 @@
         limit = self._limits_by_id.get(endpoint_id)
         if limit is None or limit.started_ms != started_ms:
             return None
+        if limit.lifts_ms is not None and self._clock.now() >= limit.lifts_ms:
+            return None
         return limit.per_second
 
     def record_answer(self, endpoint: EndpointRecord, head: AnswerHead, sent_ms: int) -> None:
@@ -117,7 +121,11 @@
         if known is not None and known.started_ms > started_ms:
             return
         now = self._clock.now()
-        changed = known is None or (known.per_second, known.started_ms) != (per_second, started_ms)
+        changed = (
+            known is None
+            or known.lifts_ms is not None
+            or (known.per_second, known.started_ms) != (per_second, started_ms)
+        )
         if changed:
             log(LIMIT_NAMED, endpoint=endpoint_id, per_second=per_second, own=notify)
         notified_ms = now if known is None or changed else known.notified_ms
@@ -133,11 +141,10 @@
 
     def _lift(self, endpoint_id: str, started_ms: int, *, notify: bool) -> None:
         limit = self._limits_by_id.get(endpoint_id)
-        if limit is None or limit.started_ms != started_ms:
-            return
-        if self._clock.now() - limit.named_ms < LIFT_HOLD_MS:
+        if limit is None or limit.started_ms != started_ms or limit.lifts_ms is not None:
             return
-        del self._limits_by_id[endpoint_id]
+        lifts_ms = limit.named_ms + LIFT_HOLD_MS
+        self._limits_by_id[endpoint_id] = replace(limit, lifts_ms=lifts_ms)
         log(LIMIT_LIFTED, endpoint=endpoint_id, per_second=limit.per_second, own=notify)
         if notify:
             self._notify(EndpointLimitNotice(endpoint_id, started_ms, None))
--- a/tests/mastickeel_router/ratelimits/test_limits.py
+++ b/tests/mastickeel_router/ratelimits/test_limits.py
@@ -80,8 +80,6 @@
     async def test_notice_of_a_peer_is_applied_and_not_repeated(self) -> None:
         self.limits.apply_notice(EndpointLimitNotice("e1", 5, 2.0))
         self.assertEqual(self.limits.limit_of(ENDPOINT), 2.0)
-        self.limits.apply_notice(EndpointLimitNotice("e1", 5, None))
-        self.assertEqual(self.limits.limit_of(ENDPOINT), 2.0)
         await self.clock.advance(LIFT_HOLD_MS)
         self.limits.apply_notice(EndpointLimitNotice("e1", 4, None))
         self.assertEqual(self.limits.limit_of(ENDPOINT), 2.0)
@@ -89,6 +87,27 @@
         self.assertIsNone(self.limits.limit_of(ENDPOINT))
         self.assertEqual(self.notices, [])
 
+    async def test_lift_soon_after_the_limit_was_named_is_lost(self) -> None:
+        # A notice of the limit may be delayed, and is then younger than the answer that lifts it.
+        for lift in (
+            lambda: self.limits.apply_notice(EndpointLimitNotice("e1", 5, None)),
+            lambda: self.answer(ANSWER, sent_ago_ms=-1),
+        ):
+            self.answer(naming(2.0))
+            lift()
+            self.assertEqual(self.limits.limit_of(ENDPOINT), 2.0)
+            await self.clock.advance(LIFT_HOLD_MS)
+            self.assertIsNone(self.limits.limit_of(ENDPOINT))
+
+    async def test_limit_named_again_after_a_lift_stays_and_is_told_again(self) -> None:
+        self.answer(naming(2.0))
+        self.limits.apply_notice(EndpointLimitNotice("e1", 5, None))
+        await self.clock.advance(LIFT_HOLD_MS - 1)
+        self.answer(naming(2.0))
+        await self.clock.advance(LIFT_HOLD_MS)
+        self.assertEqual(self.limits.limit_of(ENDPOINT), 2.0)
+        self.assertEqual([notice.per_second for notice in self.notices], [2.0, 2.0])
+
     async def test_unchanged_limit_is_told_again_once_a_second(self) -> None:
         for _ in range(4):
             self.answer(naming(1.0))
