Do not let members that replace departed replicas grant what those had granted

Cause: when two of a content's three replicas are lost at once, a quorum is made of members that have just replaced them and know of no permit; the send of the lost instance, which had crashed its endpoint, was forgotten.

Change: a departed member counts as a replica for 6 s more. Meanwhile its permits are copied to the members that replace it: by the holder, or by the other replicas when the holder has departed too.

Three new tests: the first crashed 3 endpoints before (2 allowed), the others need the copying.

--- a/bench/histories/billing.py
+++ b/bench/histories/billing.py
@@ -89,6 +89,9 @@
     nodes = list(history.fleet.nodes.nodes_by_id.values())
     history.ceilings = [_make_ceilings(history, node) for node in nodes]
     history.guards = [_make_guard(history, node) for node in nodes]
+    for guard in history.guards:
+        # As the background task of a router does, which histories do not run.
+        guard.observe_members()
     working: list[asyncio.Task[None]] = []
     for step in range(STEPS):
         if history.draw.random() < FAULT_SHARE:
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/guard.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/guard.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeVar
 
 from mastickeel.addresses import Address
@@ -54,6 +54,9 @@
 BUSY_RETRY_MS = 2_000
 PROBE_TIMEOUT_MS = 1_000
 COPY_INTERVAL_MS = 5_000
+DEPARTURE_HOLD_MS = 6_000
+"""Time for which a departed member still counts as a replica: above the interval at which the
+permits under way are copied to the members that replace it."""
 COLUMNS = ("fingerprint", "account", "crashes", "endpoints", "running", "until_ms")
 
 ENDPOINT_CRASHED = define_event(
@@ -114,6 +117,9 @@
         self._clock = clock
         self._rng = rng
         self._suspect_until_ms: dict[str, int] = {}
+        self._known_ids: set[str] = set()
+        self._departed_ms_by_id: dict[str, int] = {}
+        self._permits_by_send: dict[str, Permit] = {}
         link.register_handler(PermitRequest, self.replica.on_permit_request)
         link.register_handler(PermitReleaseNotice, self.replica.on_permit_release_notice)
         link.register_handler(CrashReport, self.replica.on_crash_report)
@@ -136,6 +142,7 @@
                 run for too long; the request is not sent.
         """
         permit = await self._acquire_permit(request, version_id)
+        self._permits_by_send[permit.send_id] = permit
         finished = crashed = False
         try:
             yield
@@ -149,6 +156,7 @@
                 await self.report_crash(permit, endpoint.id)
             raise
         finally:
+            permit = self._permits_by_send.pop(permit.send_id)
             # A replica that missed the crash report must keep counting the permit.
             if not crashed:
                 self._release_permit(permit, finished)
@@ -172,10 +180,46 @@
         await asyncio.gather(*requests, return_exceptions=True)
 
     async def run_crash_copying(self) -> None:
-        """Copies known crashes to the current replicas periodically until cancelled."""
+        """Copies known crashes and own permits to the current replicas until cancelled."""
         while True:
+            self.observe_members()
             await self._clock.sleep(COPY_INTERVAL_MS)
             await self.send_known_crashes()
+            await self.copy_permits()
+
+    def observe_members(self) -> None:
+        """Records which members are present, and which have departed since the last call."""
+        now, present = self._clock.now(), set(self._members().members_by_id)
+        for member_id in self._known_ids - present:
+            self._departed_ms_by_id[member_id] = now
+        self._known_ids = present
+        self._departed_ms_by_id = {
+            member_id: at_ms
+            for member_id, at_ms in self._departed_ms_by_id.items()
+            if member_id not in present and now - at_ms < DEPARTURE_HOLD_MS
+        }
+
+    async def copy_permits(self) -> None:
+        """Copies permits to members that have become replicas since they were granted.
+
+        These are the permits of own sends, and those of departed instances: whether their sends
+        still run, or have crashed an endpoint, is not known.
+        """
+        for send_id, permit in list(self._permits_by_send.items()):
+            ranked = self._ranked_members(permit.fingerprint)[:REPLICAS]
+            new_ids = [member_id for member_id in ranked if member_id not in permit.replica_ids]
+            if not new_ids:
+                continue
+            # Named before the request, so that a permit that is granted late is released too.
+            held_by = (*permit.replica_ids, *new_ids)
+            self._permits_by_send[send_id] = replace(permit, replica_ids=held_by)
+            await self._request_from(
+                new_ids,
+                PermitRequest(permit.fingerprint, permit.account_id, send_id, permit.version_id),
+            )
+        for request in self.replica.permits_held_by(self._list_departed()):
+            ranked = self._ranked_members(request.fingerprint)[:REPLICAS]
+            await self._request_from(ranked, request)
 
     async def send_known_crashes(self) -> None:
         """Sends the crashes that this instance knows of to the current replicas."""
@@ -275,7 +319,7 @@
         Returns:
             The replies by member id; None for a member that did not answer in time.
         """
-        ranked = self._ranked_members(request.fingerprint)[:REPLICAS]
+        ranked = self._ranked_replicas(request.fingerprint)
         suspected = self._suspected_members()
         answers = await self._request_from(
             [member_id for member_id in ranked if member_id not in suspected], request
@@ -313,7 +357,8 @@
         In a fleet with fewer than REPLICAS members, one answer is enough, so that a fleet of two
         still works after losing one member.
         """
-        return QUORUM if len(self._members().members_by_id) >= REPLICAS - 1 else 1
+        others = {*self._members().members_by_id, *self._list_departed()}
+        return QUORUM if len(others) >= REPLICAS - 1 else 1
 
     async def _request(
         self,
@@ -347,6 +392,22 @@
         members = self._members()
         return rank(str(fingerprint), [members.local_member.id, *members.members_by_id])
 
+    def _ranked_replicas(self, fingerprint: int) -> list[str]:
+        """Returns the live replicas of a content, not counting those that replace departed ones.
+
+        Until the permits under way are copied, a member that replaces a departed replica does not
+        know of them.
+        """
+        departed = self._list_departed()
+        ids = {*self._ranked_members(fingerprint), *departed}
+        replicas = rank(str(fingerprint), ids)[:REPLICAS]
+        return [member_id for member_id in replicas if member_id not in departed]
+
+    def _list_departed(self) -> set[str]:
+        """Returns the ids of the members that have departed within the last DEPARTURE_HOLD_MS."""
+        self.observe_members()
+        return set(self._departed_ms_by_id)
+
     def _suspected_members(self) -> set[str]:
         """Returns the ids of members that failed to answer within the last SUSPECT_MS."""
         now = self._clock.now()
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/replica.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/replica.py
@@ -130,6 +130,13 @@
     crashes: set[Crash] = field(default_factory=set)
     expiry_ms_by_permit: dict[str, int] = field(default_factory=dict)
     """Expiry times of the permits of running sends, by permit id."""
+    holder_ids_by_permit: dict[str, str] = field(default_factory=dict)
+    """Ids of the instances that requested the permits."""
+
+    def remove_permit(self, permit: str) -> None:
+        """Removes the permit of a send, if it is known."""
+        self.expiry_ms_by_permit.pop(permit, None)
+        self.holder_ids_by_permit.pop(permit, None)
 
     @property
     def refused_until_wall_ms(self) -> int:
@@ -162,6 +169,7 @@
         if any(permit != request.permit for permit in state.expiry_ms_by_permit):
             return PermitReply(Verdict.BUSY, tuple(state.crashes))
         state.expiry_ms_by_permit[request.permit] = now + PERMIT_TTL_MS
+        state.holder_ids_by_permit[request.permit] = sender
         return PermitReply(Verdict.GRANTED, tuple(state.crashes))
 
     async def on_permit_release_notice(self, sender: str, notice: PermitReleaseNotice) -> None:
@@ -175,7 +183,7 @@
             if notice.finished and self.is_proven(notice.fingerprint, notice.version_id):
                 self._add_proof(notice.fingerprint, notice.version_id)
             return
-        state.expiry_ms_by_permit.pop(notice.permit, None)
+        state.remove_permit(notice.permit)
         if state.crashes:
             return
         if notice.finished:
@@ -194,7 +202,7 @@
     async def on_crash_report(self, sender: str, report: CrashReport) -> CrashReportReply:
         """Records crashes; known crashes are not counted again."""
         state = self._state_of(report.fingerprint, report.account_id)
-        state.expiry_ms_by_permit.pop(report.permit, None)
+        state.remove_permit(report.permit)
         self._proofs_by_fingerprint.pop(report.fingerprint, None)
         state.crashes |= set(report.crashes)
         return CrashReportReply(len(state.crashes))
@@ -205,6 +213,15 @@
         state = self.states_by_fingerprint.pop(request.fingerprint, None)
         return ClearReply(proofs is not None or state is not None)
 
+    def permits_held_by(self, holder_ids: Collection[str]) -> list[PermitRequest]:
+        """Returns the requests that would grant again the permits of these instances."""
+        return [
+            PermitRequest(fingerprint, state.account_id, permit, "")
+            for fingerprint, state in self.states_by_fingerprint.items()
+            for permit, holder_id in state.holder_ids_by_permit.items()
+            if holder_id in holder_ids
+        ]
+
     def suspects(self) -> dict[int, ContentState]:
         """Returns the contents with recent crashes, by fingerprint."""
         for fingerprint in list(self.states_by_fingerprint):
@@ -249,7 +266,7 @@
             for permit_id, expiry_ms in state.expiry_ms_by_permit.items()
             if expiry_ms <= now
         ]:
-            del state.expiry_ms_by_permit[permit]
+            state.remove_permit(permit)
 
     def _evict_one(self) -> None:
         """Evicts the least recently used content that has neither crashes nor running sends."""
--- a/tests/mastickeel_router/quarantine/test_quarantine.py
+++ b/tests/mastickeel_router/quarantine/test_quarantine.py
@@ -145,6 +145,8 @@
             )
             for node in self.nodes.nodes_by_id.values()
         }
+        for guard in self.guards_by_id.values():
+            guard.observe_members()
         self.ranked = rank(str(compute_fingerprint(make_request(0))), self.nodes.nodes_by_id)
 
     async def send(self, node_id: str, number: int) -> str:
@@ -214,6 +216,42 @@
             codes = [await self.send(node_id, n) for n, node_id in enumerate(self.ranked[:2])]
         self.assertEqual((codes, len(self.crashed)), (["unavailable"] * 2, 1))
 
+    async def test_send_of_a_killed_instance_is_forgotten_when_its_replicas_are_lost(self) -> None:
+        """The send crashes its endpoint; two replicas are killed and the third one is cut off."""
+        sending = asyncio.ensure_future(self.send(self.ranked[0], 100))
+        await self.running.wait()
+        self.nodes.partitioned_ids.add(self.ranked[2])
+        for node_id in self.ranked[:2]:
+            await self.nodes.kill(self.nodes.nodes_by_id[node_id])
+        for number in range(3):
+            await asyncio.gather(*(self.send(peer, number) for peer in self.ranked[3:]))
+        await sending
+        self.assertLessEqual(len(self.crashed), 2)
+
+    async def check_copied_permit(self, holder_id: str, copier_id: str) -> None:
+        """Checks that a permit counts at the new replicas once two are lost, until released."""
+        sending = asyncio.ensure_future(self.send(holder_id, 100))
+        await self.running.wait()
+        for node_id in self.ranked[:2]:
+            await self.nodes.kill(self.nodes.nodes_by_id[node_id])
+        await self.guards_by_id[copier_id].copy_permits()
+        with (
+            patch.object(guard_module, "DEPARTURE_HOLD_MS", 0),
+            patch.object(guard_module, "BUSY_LIMIT_MS", 0),
+        ):
+            self.assertEqual(await self.send(self.ranked[3], 1), "unavailable")
+        await sending
+        self.assertEqual(self.crashed, ["engine-100"])
+
+    async def test_permit_of_a_running_send_is_lost_with_two_replicas(self) -> None:
+        await self.check_copied_permit(holder_id=self.ranked[4], copier_id=self.ranked[4])
+        with patch.object(guard_module, "DEPARTURE_HOLD_MS", 0):
+            self.assertEqual(await self.send(self.ranked[3], 2), "endpoint_failed")
+        self.assertEqual(len(self.crashed), 2)
+
+    async def test_permit_of_a_killed_instance_is_lost_with_two_replicas(self) -> None:
+        await self.check_copied_permit(holder_id=self.ranked[0], copier_id=self.ranked[2])
+
     async def test_permit_that_is_granted_late_is_released(self) -> None:
         late_replica = self.guards_by_id[self.ranked[0]].replica
         answer = late_replica.on_permit_request
