--- a/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
@@ -87,6 +87,11 @@
             if self._is_selectable(endpoint):
                 return endpoint
 
+    def has_unlimited(self) -> bool:
+        """Returns whether an endpoint without a rate limit may serve the request now."""
+        limits = self._context.limits
+        return any(limits.limit_of(record) is None for record in self._list_endpoints())
+
     def _is_selectable(self, endpoint: EndpointRecord) -> bool:
         """Returns whether an endpoint may still serve the request after waiting for a permit."""
         return any(
@@ -94,11 +99,6 @@
             for record in self._list_endpoints()
         )
 
-    def has_unlimited(self) -> bool:
-        """Returns whether an endpoint without a rate limit may serve the request now."""
-        limits = self._context.limits
-        return any(limits.limit_of(record) is None for record in self._list_endpoints())
-
     def _list_open(
         self, records: Sequence[EndpointRecord], denied_ids: Collection[str]
     ) -> list[EndpointRecord]:
