Move the soak of rate limits back beside the stand-ins of the platform

Cause: the driver speaks the platform's words, which only platform/, deploy/ and their tests may.

Change: the driver and its seeded test are where they were before.

--- a/bench/soak/limits.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -1,7 +1,7 @@
 """Soak of gateways as processes before endpoints that name rate limits, under random faults.
 
 Run by hand with more seeds and instances:
-``python -m bench.soak.limits --first 1 --seeds 50 --instances 9``.
+``python -m tests.mastickeel_platform.limit_soak --first 1 --seeds 50 --instances 9``.
 """
 
 from __future__ import annotations
--- a/tests/bench/test_limit_soak.py
+++ b/tests/mastickeel_platform/test_limit_soak.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from bench.soak.limits import LimitSoak
+from tests.mastickeel_platform.limit_soak import LimitSoak
 
 SEEDS = (1, 2)
 INSTANCE_COUNT = 5
