Do not fail the second of two sends under one request id in the quarantine

Callers who send two requests at once under one X-Request-Id through one instance would have got an internal error for one of them.

Cause: the permits of own sends, kept since members that replace departed replicas get copies, are removed by the send's id.

Change: the send that ends last uses its own permit.

Measured: the new test failed with KeyError 'request-1/v' before; the 23 tests of the quarantine pass.

--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/guard.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/guard.py
@@ -156,7 +156,7 @@
                 await self.report_crash(permit, endpoint.id)
             raise
         finally:
-            permit = self._permits_by_send.pop(permit.send_id)
+            permit = self._permits_by_send.pop(permit.send_id, permit)
             # A replica that missed the crash report must keep counting the permit.
             if not crashed:
                 self._release_permit(permit, finished)
--- a/tests/mastickeel_router/quarantine/test_quarantine.py
+++ b/tests/mastickeel_router/quarantine/test_quarantine.py
@@ -252,6 +252,11 @@
     async def test_permit_of_a_killed_instance_is_lost_with_two_replicas(self) -> None:
         await self.check_copied_permit(holder_id=self.ranked[0], copier_id=self.ranked[2])
 
+    async def test_second_of_two_sends_under_one_id_fails_in_the_guard(self) -> None:
+        # Callers choose the ids of their requests.
+        codes = await asyncio.gather(*(self.send(self.ranked[4], 1) for _ in range(2)))
+        self.assertEqual(codes, ["endpoint_failed"] * 2)
+
     async def test_permit_that_is_granted_late_is_released(self) -> None:
         late_replica = self.guards_by_id[self.ranked[0]].replica
         answer = late_replica.on_permit_request
