--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -23,6 +23,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mastickeel.httpmessages import (
+    ConnectionEnd,
     ConnectionFailedError,
     ExchangeBrokenError,
     ExchangeTimeoutError,
@@ -63,6 +64,20 @@
         """Closes the connection."""
 
 
+class ObservedStream(IOStream):
+    """A TCP stream that records whether the server closed it in order."""
+
+    closed_by_peer = False
+    """Whether the end of the server's data has been read."""
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Reads from the socket; 0 bytes mean that the server has sent all of its data."""
+        count = super().read_from_fd(buf)
+        if count == 0:
+            self.closed_by_peer = True
+        return count
+
+
 class HttpConnection:
     """A connection to one address, used by one exchange at a time."""
 
@@ -85,6 +100,18 @@
         """Whether the connection is closed."""
         return self._stream.closed()
 
+    @property
+    def end(self) -> ConnectionEnd:
+        """How the connection ended; ``ConnectionEnd.OPEN`` while it is open."""
+        if not self._stream.closed():
+            return ConnectionEnd.OPEN
+        # Over TLS an orderly close cannot be told from a cut connection.
+        if isinstance(self._stream, ObservedStream) and self._stream.closed_by_peer:
+            return ConnectionEnd.CLOSED
+        if self.timed_out:
+            return ConnectionEnd.TIMEOUT
+        return ConnectionEnd.ABORTED if self._stream.error is None else ConnectionEnd.RESET
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes have arrived that belong to no answer."""
@@ -311,7 +338,7 @@
     async def _open(self, address: Address, timeout_ms: float) -> IOStream:
         """Opens a stream; closes the socket when that fails."""
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        stream = ObservedStream(socket.socket(family, socket.SOCK_STREAM))
         try:
             await self.clock.wait_for(stream.connect((address.host, address.port)), timeout_ms)
             if self.tls is None:
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from mastickeel.errors import ExecutionStatus, MastickeelError
@@ -15,6 +16,32 @@
 CONNECT_TIMEOUT_MS = 2_000
 FIRST_BYTE_TIMEOUT_MS = 30_000
 BETWEEN_BYTES_TIMEOUT_MS = 15_000
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class BodyFraming(Enum):
+    """What marks the end of an answer's body."""
+
+    NONE = "none"
+    """The status has no body."""
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+    """The body has neither a length nor chunks and lasts until the server closes the connection."""
+
+
+class ConnectionEnd(Enum):
+    """State of a connection after an exchange, or how it ended."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    """The server closed the connection in order."""
+    RESET = "reset"
+    """The connection broke without an orderly close."""
+    TIMEOUT = "timeout"
+    """The client closed the connection because its deadline passed."""
+    ABORTED = "aborted"
+    """The client closed the connection for another reason."""
 
 
 class ConnectionFailedError(MastickeelError):
@@ -75,6 +102,17 @@
     status: int
     headers: HTTPHeaders
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body."""
+        if self.status in BODILESS_STATUSES:
+            return BodyFraming.NONE
+        if "Transfer-Encoding" in self.headers:
+            return BodyFraming.CHUNKED
+        if "Content-Length" in self.headers:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
+
 
 @dataclass(frozen=True)
 class HttpAnswer:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/metrics.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/metrics.py
@@ -74,6 +74,13 @@
             registry=self.registry,
         )
 
+        self._answers = Counter(
+            "mastickeel_answers",
+            "Answers of endpoints by their framing and how the connection ended",
+            ("framing", "connection_end"),
+            registry=self.registry,
+        )
+
     def add_gauge(self, name: str, description: str, read: Callable[[], float | bool]) -> None:
         """Adds a gauge whose value is read on each scrape."""
         Gauge(f"mastickeel_{name}", description, registry=self.registry).set_function(
@@ -89,8 +96,10 @@
             self._request_seconds.labels(kind).observe(summary.duration_ms / 1_000)
 
     def record_send(self, observation: SendObservation) -> None:
-        """Counts a finished send, and observes the event gap of a stream."""
+        """Counts a finished send and how its answer ended, and observes a stream's event gap."""
         self._sends.labels(observation.result.outcome.value).inc()
+        if (end := observation.result.end) is not None:
+            self._answers.labels(end.framing.value, end.connection.value).inc()
         if observation.pace_ms is not None and observation.route.kind is RouteKind.STREAM:
             self._event_gap_seconds.observe(observation.pace_ms / 1_000)
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from mastickeel.httpmessages import BodyFraming, ConnectionEnd
     from mastickeel_router.relay.types import AnswerHead
     from mastickeel_router.routes import Route
 
@@ -49,6 +50,16 @@
     available."""
 
 
+@dataclass(frozen=True)
+class AnswerEnd:
+    """How an answer was framed and how it ended."""
+
+    framing: BodyFraming
+    connection: ConnectionEnd
+    unfinished_bytes: int = 0
+    """Size of the incomplete event at the end of a stream."""
+
+
 @dataclass(frozen=True)
 class SendResult:
     """Result of one send."""
@@ -58,6 +69,8 @@
     body: bytes = b""
     reason: str = ""
     """Reason for an incomplete answer, for the log."""
+    end: AnswerEnd | None = None
+    """How the answer ended; None when no head arrived."""
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
@@ -15,6 +15,7 @@
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.cascade import Cascade
     from mastickeel_router.relay.context import Context
+    from mastickeel_router.relay.policy import SendResult
     from mastickeel_router.relay.types import CallerRequest, Progress
     from mastickeel_router.routes import Caller, Route
 
@@ -115,3 +116,15 @@
         """Time until the first event; None before it."""
         first = self.first_event_at_ms
         return None if first is None else first - self._progress.started_ms
+
+
+def describe_answer_end(result: SendResult) -> dict[str, object]:
+    """Returns log fields that tell how an answer was framed and ended; empty without a head."""
+    end = result.end
+    if end is None:
+        return {}
+    return {
+        "framing": end.framing.value,
+        "connection_end": end.connection.value,
+        "unfinished_bytes": end.unfinished_bytes,
+    }
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -30,7 +30,7 @@
     next_step,
     should_retry,
 )
-from mastickeel_router.relay.requestlog import RequestLog
+from mastickeel_router.relay.requestlog import RequestLog, describe_answer_end
 from mastickeel_router.relay.sending import AnswerCollector, send_request
 from mastickeel_router.relay.types import Progress, Send
 from mastickeel_router.routes import RouteKind
@@ -165,7 +165,13 @@
             step = next_step(result, self._route, state, retry_granted=granted)
             if result.outcome is not SendOutcome.WHOLE or step is not NextStep.DELIVER:
                 reason = result.reason or f"status {result.head.status if result.head else 0}"
-                self._log.write(SEND_ENDED, endpoint=endpoint.id, reason=reason, then=step.value)
+                self._log.write(
+                    SEND_ENDED,
+                    endpoint=endpoint.id,
+                    reason=reason,
+                    then=step.value,
+                    **describe_answer_end(result),
+                )
             if step is NextStep.SEND_AGAIN:
                 continue
             await self._finish(step, result)
@@ -369,7 +375,9 @@
                 await self._responder.write_answer(
                     result.head.status, result.head.headers, result.body
                 )
-            self._log.log_end(REQUEST_SERVED, status=result.head.status)
+            self._log.log_end(
+                REQUEST_SERVED, status=result.head.status, **describe_answer_end(result)
+            )
         elif step is NextStep.REFUSE:
             retry_ms = self._jitter(BUSY_RETRY_MS)
             raise UnavailableError("No endpoint accepted the request.", retry_after_ms=retry_ms)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from mastickeel.errors import MastickeelError
@@ -11,7 +12,7 @@
     ForeignAnswerError,
     Timeouts,
 )
-from mastickeel_router.relay.policy import SendOutcome, SendResult, classify_answer
+from mastickeel_router.relay.policy import AnswerEnd, SendOutcome, SendResult, classify_answer
 from mastickeel_router.routes import RouteKind
 from mastickeel_router.sse import EventSplitter, event_sequence
 
@@ -19,7 +20,7 @@
     from collections.abc import Awaitable, Callable
 
     from mastickeel.httpclient import HttpClient
-    from mastickeel.httpmessages import HttpHead, HttpRequest
+    from mastickeel.httpmessages import BodyFraming, ConnectionEnd, HttpHead, HttpRequest
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.listener import Responder
     from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect, Progress
@@ -96,13 +97,15 @@
         await connection.exchange(
             http_request, on_head=answer.on_head, on_data=answer.on_data, timeouts=timeouts
         )
+        result = await answer.finish()
     except AnswerDroppedError as error:
-        return SendResult(SendOutcome.DROPPED, answer.head, reason=error.code)
+        result = SendResult(SendOutcome.DROPPED, answer.head, reason=error.code)
     except (ExchangeBrokenError, StreamGapError, AnswerTooLargeError) as error:
-        return SendResult(SendOutcome.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
+        result = SendResult(SendOutcome.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
     finally:
+        end = answer.describe_end(connection.end)
         connection.close()
-    return await answer.finish()
+    return replace(result, end=end)
 
 
 def _timeouts(route: Route, remaining_ms: float) -> Timeouts:
@@ -153,6 +156,8 @@
         self._parts: list[bytes] = []
         self._received = 0
         self._splitter = EventSplitter()
+        self._framing: BodyFraming | None = None
+        self._unfinished_bytes = 0
 
     @property
     def _is_forwarded(self) -> bool:
@@ -180,6 +185,7 @@
         if head.request_id and head.request_id != self._request.id:
             raise ForeignAnswerError(f"The answer names {head.request_id}, not {self._request.id}.")
         self.head = head
+        self._framing = http_head.framing
         self._observe_head(head)
         if self._is_forwarded and not self._progress.head_forwarded and not self._accept_head(head):
             raise AnswerDroppedError()
@@ -205,6 +211,7 @@
         outcome = classify_answer(self.head, expects_stream=self.expects_stream)
         if self._is_forwarded:
             if rest := self._splitter.take_rest():
+                self._unfinished_bytes = len(rest)
                 await self._write(rest)
             if not self._progress.head_forwarded:
                 return SendResult(SendOutcome.BROKEN, self.head, reason="the stream had no events")
@@ -216,6 +223,17 @@
             reason="" if outcome is SendOutcome.WHOLE else f"status {self.head.status}",
         )
 
+    def describe_end(self, connection: ConnectionEnd) -> AnswerEnd | None:
+        """Describes how the answer ended; returns None when no head has arrived.
+
+        Args:
+            connection: How the connection ended.
+        """
+        if self._framing is None:
+            return None
+        unfinished_bytes = self._unfinished_bytes or len(self._splitter.take_rest())
+        return AnswerEnd(self._framing, connection, unfinished_bytes)
+
     async def _forward(self, events: list[bytes]) -> None:
         """Forwards complete events in order and each once; skips events already forwarded.
 
--- /dev/null
+++ b/tests/mastickeel_platform/test_answer_ends.py
@@ -0,0 +1,49 @@
+"""An answer is complete only if its end shows it: each framing with each way to end."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from mastickeel_router.relay import requestlog
+from tests.mastickeel_platform.gateway_case import GatewayTestCase
+from tests.mastickeel_platform.standins import Request, event_bytes, reset_connection
+
+
+def head_bytes(
+    request: Request, *fields: str, status: str = "200 OK", stream: bool = True
+) -> bytes:
+    """Returns the head of a signed answer; without further fields it ends with the connection."""
+    lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {request.id}", "Server-Seal: s", *fields]
+    if stream:
+        lines.append("Content-Type: text/event-stream")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+class AnswerEndLogTest(GatewayTestCase):
+    async def test_log_and_metrics_tell_how_answers_ended(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(head_bytes(request) + event_bytes(1))
+            await writer.drain()
+            if request.target.endswith("reset"):
+                await asyncio.sleep(0.05)
+                reset_connection(writer)
+            writer.close()
+
+        await self.start_gateway(respond)
+        with patch.object(requestlog, "log") as log:
+            await self.send_request("/draft/closed", "r1")
+            await self.send_request("/draft/reset", "r2")
+        ends = {
+            (logged.kwargs["request"], logged.args[0].name): logged.kwargs["connection_end"]
+            for logged in log.call_args_list
+            if "connection_end" in logged.kwargs
+        }
+        self.assertEqual(ends, {("r1", "request_served"): "closed", ("r2", "send_ended"): "reset"})
+        page = self.gateway.metrics.render_page().body.decode()
+        self.assertIn('mastickeel_answers_total{connection_end="reset",framing="connection"}', page)
+
+
+if __name__ == "__main__":
+    unittest.main()
