Failing test: a stream that ends with its connection inside an event is completed

The caller gets the incomplete event and a regular end; a resumable stream is not resumed, and one that cannot be resumed is not cut off. No logic is changed.

--- a/tests/mastickeel_platform/test_answer_ends.py
+++ b/tests/mastickeel_platform/test_answer_ends.py
@@ -8,7 +8,7 @@
 
 from mastickeel_router.relay import requestlog
 from tests.mastickeel_platform.gateway_case import GatewayTestCase
-from tests.mastickeel_platform.standins import Request, event_bytes, reset_connection
+from tests.mastickeel_platform.standins import Request, event_bytes, reset_connection, route
 
 
 def head_bytes(
@@ -45,5 +45,39 @@
         self.assertIn('mastickeel_answers_total{connection_end="reset",framing="connection"}', page)
 
 
+class TruncatedStreamTest(GatewayTestCase):
+    """Streams that end with their connection."""
+
+    ROUTES = (*GatewayTestCase.ROUTES, route("fixed", "streaming", resumable=False))
+
+    async def test_stream_that_ends_inside_an_event_is_resumed_and_not_completed(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            after = request.headers.get("last-event-id")
+            if after is None:
+                data = event_bytes(1) + event_bytes(2) + event_bytes(3)[:9]
+            else:
+                data = b"".join(event_bytes(number) for number in range(int(after) + 1, 5))
+            writer.write(head_bytes(request) + data)
+            await writer.drain()
+            writer.close()
+
+        await self.start_gateway(respond, respond)
+        reply = await self.send_request("/draft/a")
+        self.assertTrue(reply.complete)
+        self.assertEqual(reply.body, b"".join(event_bytes(number) for number in range(1, 5)))
+        self.assertEqual(self.received_requests()[-1].headers["last-event-id"], "2")
+
+    async def test_stream_that_ends_inside_an_event_and_cannot_resume_is_cut_off(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(head_bytes(request) + event_bytes(1) + event_bytes(2)[:9])
+            await writer.drain()
+            writer.close()
+
+        await self.start_gateway(respond)
+        reply = await self.send_request("/fixed/a")
+        self.assertFalse(reply.complete)
+        self.assertEqual(reply.body, event_bytes(1))
+
+
 if __name__ == "__main__":
     unittest.main()
