Resume or cut off a stream that ends inside an event

Cause: an answer may have neither length nor chunks and end with its connection. Such a stream of a crashed endpoint ends in order, and AnswerCollector forwarded the incomplete event and completed the caller's answer. Whether an answer is whole was decided from the framing alone.

A stream is whole now only if nothing of an event is left at its end, whatever its framing, also if it was collected. What is left is never forwarded: the stream is resumed after the last complete event or the caller's connection is closed. As the rest was what carried streams with CRLF line ends, the splitter knows all line ends, and comments after the last event are no event. It searches an event that comes in many chunks once.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -157,7 +157,6 @@
         self._received = 0
         self._splitter = EventSplitter()
         self._framing: BodyFraming | None = None
-        self._unfinished_bytes = 0
 
     @property
     def _is_forwarded(self) -> bool:
@@ -196,8 +195,9 @@
         Raises:
             AnswerTooLargeError: When a collected answer is over the size limit.
         """
+        assert self.head is not None
+        events = self._splitter.split(chunk) if self.head.is_stream else []
         if self._is_forwarded:
-            events = self._splitter.split(chunk)
             return self._forward(events) if events else None
         self._received += len(chunk)
         if self._received > MAX_ANSWER_BYTES:
@@ -206,13 +206,21 @@
         return None
 
     async def finish(self) -> SendResult:
-        """Completes an answer that has arrived to its end and returns the result of the send."""
+        """Completes an answer whose framing is complete and returns the result of the send.
+
+        Raises:
+            StreamGapError: When the last event follows a gap.
+        """
         assert self.head is not None
         outcome = classify_answer(self.head, expects_stream=self.expects_stream)
+        if self.head.is_stream:
+            events = self._splitter.finish()
+            if events and self._is_forwarded:
+                await self._forward(events)
+            if self._splitter.pending_bytes:
+                reason = "the stream ended inside an event"
+                return SendResult(SendOutcome.BROKEN, self.head, reason=reason)
         if self._is_forwarded:
-            if rest := self._splitter.take_rest():
-                self._unfinished_bytes = len(rest)
-                await self._write(rest)
             if not self._progress.head_forwarded:
                 return SendResult(SendOutcome.BROKEN, self.head, reason="the stream had no events")
             self._responder.finish()
@@ -231,8 +239,7 @@
         """
         if self._framing is None:
             return None
-        unfinished_bytes = self._unfinished_bytes or len(self._splitter.take_rest())
-        return AnswerEnd(self._framing, connection, unfinished_bytes)
+        return AnswerEnd(self._framing, connection, self._splitter.pending_bytes)
 
     async def _forward(self, events: list[bytes]) -> None:
         """Forwards complete events in order and each once; skips events already forwarded.
--- a/packages/mastickeel_router/src/mastickeel_router/sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -2,18 +2,33 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import msgspec
 
 ID_FIELD = b"id:"
+END_OF_EVENT = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
+"""A blank line after another line; a CR at the end of the data may be half of a CRLF."""
+MAX_BLANK_LINE_BYTES = 4
+OUTSIDE_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?>\r\n|\n|\r))*")
+"""Blank lines and comments only."""
 
 
 class EventSplitter:
-    """Splits a byte stream into events and buffers an incomplete event."""
+    """Splits a byte stream into events and buffers an incomplete event.
+
+    Lines end with LF, CRLF or CR; an event ends with a blank line.
+    """
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._parts: list[bytes] = []
+        self._tail = b""
+
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the bytes that arrived after the last complete event."""
+        return sum(len(part) for part in self._parts)
 
     def split(self, chunk: bytes) -> list[bytes]:
         """Adds a chunk of the stream and returns the events that are now complete.
@@ -24,28 +39,49 @@
         Returns:
             The complete events, each with the blank line that ends it.
         """
-        data = self._pending + chunk if self._pending else chunk
-        if data.endswith(b"\n\n") and data.find(b"\n\n") == len(data) - 2:
-            self._pending = b""
-            return [data]
-        *complete, self._pending = data.split(b"\n\n")
-        return [event + b"\n\n" for event in complete]
-
-    def take_rest(self) -> bytes:
-        """Removes and returns the bytes that arrived after the last complete event."""
-        rest, self._pending = self._pending, b""
-        return rest
+        if not self._parts and chunk.endswith(b"\n\n") and b"\r" not in chunk:
+            if chunk.find(b"\n\n") == len(chunk) - 2:
+                return [chunk]
+        elif END_OF_EVENT.search(self._tail + chunk) is None:
+            # Only the end of what is buffered can be a part of the next blank line, so an event
+            # that arrives in many chunks is searched once.
+            self._parts.append(chunk)
+            self._tail = (self._tail + chunk)[-MAX_BLANK_LINE_BYTES:]
+            return []
+        data = b"".join((*self._parts, chunk))
+        events: list[bytes] = []
+        start = 0
+        for match in END_OF_EVENT.finditer(data):
+            events.append(data[start : match.end()])
+            start = match.end()
+        rest = data[start:]
+        self._parts = [rest] if rest else []
+        self._tail = rest[-MAX_BLANK_LINE_BYTES:]
+        return events
+
+    def finish(self) -> list[bytes]:
+        """Returns what the end of the stream completes.
+
+        This is an event whose last line break might have continued, or lines that belong to no
+        event. What is still pending after this call is an event that has been cut off.
+        """
+        rest = b"".join(self._parts)
+        is_complete = rest.endswith((b"\r\r", b"\n\r")) or OUTSIDE_EVENTS.fullmatch(rest)
+        if not rest or not is_complete:
+            return []
+        self._parts, self._tail = [], b""
+        return [rest]
 
 
 def event_data(event: bytes) -> bytes:
     """Returns the data of an event, without its other fields."""
-    lines = [line[5:].strip() for line in event.split(b"\n") if line.startswith(b"data:")]
+    lines = [line[5:].strip() for line in event.splitlines() if line.startswith(b"data:")]
     return b"\n".join(lines)
 
 
 def event_sequence(event: bytes) -> int | None:
     """Returns the number in an event's ``id`` field; None if the event has no such number."""
-    for line in event.split(b"\n"):
+    for line in event.splitlines():
         if line.startswith(ID_FIELD):
             digits = line[len(ID_FIELD) :].strip()
             return int(digits) if digits.isdigit() else None
--- /dev/null
+++ b/tests/mastickeel_router/test_sse.py
@@ -0,0 +1,50 @@
+"""Splitting a byte stream into events, however it is cut and whatever ends its lines."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mastickeel_router.sse import EventSplitter, event_sequence
+
+
+def split_all(data: bytes, cuts: list[int]) -> tuple[list[bytes], int]:
+    """Splits data that arrives in chunks; returns the events and what is pending at the end."""
+    splitter = EventSplitter()
+    events: list[bytes] = []
+    for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
+        events += splitter.split(data[start:end])
+    return events + splitter.finish(), splitter.pending_bytes
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_events_do_not_depend_on_chunks_or_line_ends(self) -> None:
+        rng = random.Random(29)
+        for line_end in (b"\n", b"\r\n", b"\r"):
+            events = [
+                line_end.join((b"id: %d" % number, b"data: x", b"", b"")) for number in range(4)
+            ]
+            data = b"".join(events)
+            for _ in range(200):
+                cuts = sorted(rng.choices(range(len(data) + 1), k=rng.randrange(8)))
+                with self.subTest(line_end=line_end, cuts=cuts):
+                    self.assertEqual(split_all(data, cuts), (events, 0))
+            self.assertEqual([event_sequence(event) for event in events], [0, 1, 2, 3])
+
+    def test_each_cut_inside_an_event_leaves_it_pending(self) -> None:
+        for line_end in (b"\n", b"\r\n"):
+            first, second = (line_end.join((b"id: %d" % n, b"data: x", b"", b"")) for n in (1, 2))
+            for length in range(1, len(second) - len(line_end) + 1):
+                with self.subTest(line_end=line_end, length=length):
+                    self.assertEqual(split_all(first + second[:length], []), ([first], length))
+
+    def test_comments_after_the_last_event_belong_to_no_event(self) -> None:
+        self.assertEqual(
+            split_all(b"data: x\n\n: end\n\n", []), ([b"data: x\n\n", b": end\n\n"], 0)
+        )
+        self.assertEqual(split_all(b"data: x\n\n: end\n", []), ([b"data: x\n\n", b": end\n"], 0))
+        self.assertEqual(split_all(b"data: x\n\n: en", []), ([b"data: x\n\n"], 4))
+
+
+if __name__ == "__main__":
+    unittest.main()
