Do not take our own close, a deadline or a reset for the end of an unframed body

A body with neither length nor chunks lasts until the server closes the connection. Both clients took any end without a socket error for that: the deadline that closes the connection on our side, and HttpClient.close. StreamedExchange took a reset for it too.

The connections record the end of the server's data as it is read, and only that completes such a body. Over TLS, where a cut cannot be told from a close, nothing does. Errors name the end.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -23,6 +23,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mastickeel.httpmessages import (
+    BodyFraming,
     ConnectionEnd,
     ConnectionFailedError,
     ExchangeBrokenError,
@@ -184,13 +185,14 @@
             pass
         if receiver.error is not None:
             raise receiver.error
-        if receiver.ends_with_connection and self._stream.error is not None:
+        if receiver.framing is BodyFraming.CONNECTION and self.end is not ConnectionEnd.CLOSED:
             receiver.finished = False
         if not receiver.finished:
             error_type = ExchangeTimeoutError if self.timed_out else ExchangeBrokenError
             # The query string may contain private data and is left out of errors and logs.
             path = request.path.partition("?")[0]
-            raise error_type(f"{request.method} {path} at {self.address} did not end.")
+            detail = f"{request.method} {path} at {self.address} did not end ({self.end.value})."
+            raise error_type(detail)
 
     async def _skip_foreign_answers(self, receiver: _Receiver) -> None:
         """Reads further answers while the last answer belonged to another request."""
@@ -216,7 +218,7 @@
     ) -> None:
         self.finished = False
         self.foreign = False
-        self.ends_with_connection = False
+        self.framing = BodyFraming.NONE
         self.error: Exception | None = None
         self._connection = connection
         self._clock = clock
@@ -229,9 +231,9 @@
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
         self._extend_deadline()
-        declares_end = "Content-Length" in headers or "Transfer-Encoding" in headers
-        self.ends_with_connection = not declares_end
-        return self._call_handler(lambda: self._on_head(HttpHead(start_line.code, headers)))
+        head = HttpHead(start_line.code, headers)
+        self.framing = head.framing
+        return self._call_handler(lambda: self._on_head(head))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._extend_deadline()
--- a/packages/mastickeel/src/mastickeel/streaming.py
+++ b/packages/mastickeel/src/mastickeel/streaming.py
@@ -15,6 +15,7 @@
 
 from mastickeel.httpclient import HEADER_LIMIT_BYTES, configure_socket
 from mastickeel.httpmessages import (
+    BodyFraming,
     ConnectionFailedError,
     ExchangeBrokenError,
     ExchangeTimeoutError,
@@ -50,8 +51,7 @@
         """Whether the body lasts until the connection ends, as the headers give no length."""
         if self.head is None:
             return False
-        headers = self.head.headers
-        return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+        return self.head.framing is BodyFraming.CONNECTION
 
     def feed(self, data: bytes) -> bytes:
         """Parses received data and returns the part of the body that it contains.
@@ -129,6 +129,7 @@
         self._answer = _AnswerParser()
         self._head_delivered = False
         self._resuming: asyncio.Task[None] | None = None
+        self._closed_by_peer = False
 
     async def run(
         self, address: Address, request: HttpRequest, before_send: Callable[[], object]
@@ -195,11 +196,16 @@
         except Exception as error:
             self._fail(error)
 
+    def eof_received(self) -> None:
+        """Records that the server has closed the connection in order."""
+        # Over TLS an orderly close cannot be told from a cut connection.
+        self._closed_by_peer = self._client.tls is None
+
     def connection_lost(self, error: Exception | None) -> None:
-        """Ends the exchange: as complete only if the body lasts until the connection ends."""
+        """Ends the exchange: as complete only if the server's close is what ends the body."""
         if self._ended.done():
             return
-        if self._answer.ends_with_connection:
+        if self._answer.ends_with_connection and self._closed_by_peer:
             self._finish()
             return
         error_type = ExchangeTimeoutError if self.timed_out else ExchangeBrokenError
