Reset the connection of a caller without chunks when its stream breaks off

An answer without a length to a caller that speaks HTTP/1.0 ends with the connection.

A close before the end of such an answer is a reset now, whoever closes, and its connection is not kept. Answers in chunks or with a length are as before. An answer to a HEAD request has no body, also without a length.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -151,7 +151,8 @@
         ``on_head`` may raise ``ForeignAnswerError``: that answer is skipped, and the next answer
         on the connection is used instead.
         """
-        receiver = _Receiver(self, self._client.clock, on_head, on_data, timeouts)
+        has_body = request.method != "HEAD"
+        receiver = _Receiver(self, self._client.clock, on_head, on_data, timeouts, has_body)
         connection = HTTP1Connection(self._stream, True, CONNECTION_PARAMETERS)
         self.deadline_ms = self._client.clock.now() + timeouts.first_byte_ms
         self._client.watch_deadline(self)
@@ -215,6 +216,7 @@
         on_head: Callable[[HttpHead], None],
         on_data: Callable[[bytes], Awaitable[None] | None],
         timeouts: Timeouts,
+        has_body: bool,
     ) -> None:
         self.finished = False
         self.foreign = False
@@ -225,6 +227,7 @@
         self._on_head = on_head
         self._on_data = on_data
         self._timeouts = timeouts
+        self._has_body = has_body
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -232,7 +235,7 @@
         assert isinstance(start_line, ResponseStartLine)
         self._extend_deadline()
         head = HttpHead(start_line.code, headers)
-        self.framing = head.framing
+        self.framing = head.framing if self._has_body else BodyFraming.NONE
         return self._call_handler(lambda: self._on_head(head))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from http.client import responses
 from typing import TYPE_CHECKING
 
@@ -33,6 +35,7 @@
     from mastickeel.addresses import Address
     from mastickeel_router.routes import CallerLimits
 
+HTTP_WITH_CHUNKS = "HTTP/1.1"
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted, so that a burst of new connections is not dropped."""
 MAX_CONNECTION_BODY_BYTES = 64 * 1024 * 1024
@@ -66,10 +69,18 @@
 class Responder:
     """Writes the answer to one request."""
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(self, connection: HTTP1Connection, *, chunks: bool = True) -> None:
+        """Creates a responder.
+
+        Args:
+            connection: The caller's connection.
+            chunks: Whether the caller understands chunks. If not, an answer without a length ends
+                with the connection.
+        """
         self.started = False
         """Whether the head of an answer has been written."""
         self._connection = connection
+        self._chunks = chunks
 
     async def write_answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Writes a complete answer.
@@ -89,6 +100,9 @@
     async def write_head(self, status: int, headers: HTTPHeaders, first: bytes = b"") -> None:
         """Writes the status, the headers and the first part of the body."""
         self.started = True
+        if not self._chunks and "Content-Length" not in headers:
+            # Until the answer is complete, any close has to be seen as a broken connection.
+            self._set_reset_on_close(True)
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         await self._connection.write_headers(line, headers, first or None)
 
@@ -98,12 +112,21 @@
 
     def finish(self) -> None:
         """Completes the answer."""
+        if not self._chunks:
+            self._set_reset_on_close(False)
         self._connection.finish()
 
     def abort(self) -> None:
         """Closes the connection, so that the partial answer does not look complete."""
         self._connection.close()
 
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Makes a close of the caller's connection a reset, or an orderly close again."""
+        sock = self._connection.stream.socket
+        if sock is not None:
+            linger = struct.pack("ii", int(enabled), 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
 
 class CallerListener(HTTPServerConnectionDelegate):
     """Accepts callers' connections and serves each request in a task of its own."""
@@ -203,6 +226,7 @@
         self._listener = listener
         self._connection = connection
         self._head: RequestHead | None = None
+        self._chunks = True
         self._parts: list[bytes] = []
         self._received = 0
         self._buffered_bytes = 0
@@ -226,6 +250,11 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._set_busy(True)
+        if start_line.version != HTTP_WITH_CHUNKS:
+            self._chunks = False
+            # Tornado promises such a caller to keep the connection if the caller asks for it.
+            headers.pop("Connection", None)
+            self.disable_keep_alive()
         self._head = RequestHead(start_line.method, start_line.path, headers)
         limits = self._listener._limits()
         size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
@@ -268,7 +297,7 @@
 
     async def _answer(self, head: RequestHead, body: bytes) -> None:
         """Serves the request; closes the connection on any error."""
-        responder = Responder(self._connection)
+        responder = Responder(self._connection, chunks=self._chunks)
         try:
             await self._listener._serve(head, body, responder)
         except StreamClosedError:
--- a/tests/mastickeel/test_body_ends.py
+++ b/tests/mastickeel/test_body_ends.py
@@ -112,6 +112,11 @@
             with self.subTest(read.__name__), self.assertRaises(ExchangeBrokenError):
                 await reading
 
+    async def test_answer_to_a_head_request_ends_with_its_headers(self) -> None:
+        address = await self.serve(b"HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n", None)
+        answer = await self.client.call(address, HttpRequest("HEAD", "/"), TIMEOUTS)
+        self.assertEqual((answer.status, answer.body), (200, b""))
+
     async def test_no_end_completes_a_truncated_body_with_framing(self) -> None:
         for read in self.reads:
             for data in (SIZED, CHUNKED):
--- a/tests/mastickeel_platform/test_answer_ends.py
+++ b/tests/mastickeel_platform/test_answer_ends.py
@@ -8,7 +8,13 @@
 
 from mastickeel_router.relay import requestlog
 from tests.mastickeel_platform.gateway_case import GatewayTestCase
-from tests.mastickeel_platform.standins import Request, event_bytes, reset_connection, route
+from tests.mastickeel_platform.standins import (
+    Request,
+    event_bytes,
+    request_bytes,
+    reset_connection,
+    route,
+)
 
 
 def head_bytes(
@@ -79,5 +85,33 @@
         self.assertEqual(reply.body, event_bytes(1))
 
 
+class OldCallerTest(GatewayTestCase):
+    """Callers that speak HTTP/1.0 know a stream's end only from the end of the connection."""
+
+    async def read_to_end(self, target: str) -> bytes:
+        """Sends a request and reads until the connection ends; raises when it is reset."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        data = request_bytes(target, headers="Connection: keep-alive")
+        writer.write(data.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        try:
+            return await asyncio.wait_for(reader.read(), 3)
+        finally:
+            writer.close()
+
+    async def test_broken_stream_of_a_caller_without_chunks_is_reset(self) -> None:
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            writer.write(head_bytes(request) + event_bytes(1))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if request.target.endswith("broken"):
+                reset_connection(writer)
+            writer.close()
+
+        await self.start_gateway(respond)
+        self.assertTrue((await self.read_to_end("/draft/whole")).endswith(event_bytes(1)))
+        with self.assertRaises(ConnectionResetError):
+            await self.read_to_end("/draft/broken")
+
+
 if __name__ == "__main__":
     unittest.main()
