--- a/tests/mastickeel_platform/test_store.py
+++ b/tests/mastickeel_platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from mastickeel.addresses import Address
@@ -16,7 +17,10 @@
 from mastickeel.keyvalue import Compare, Delete, Get, Put
 from mastickeel_platform import store
 from mastickeel_platform.store import PlatformStore
-from tests.mastickeel_platform.standins import FakeStore
+from tests.mastickeel_platform.standins import FakeStore, RawServer, Request
+
+if TYPE_CHECKING:
+    import asyncio
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -126,5 +130,54 @@
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{x}")
 
 
+class UnusableAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that were cut off, or of which nothing but the head arrived."""
+
+    async def asyncSetUp(self) -> None:
+        self.data = b""
+        self.server = RawServer(self.respond)
+        self.http = HttpClient(Clock())
+        address = Address("127.0.0.1", await self.server.start())
+        self.store = PlatformStore(self.http, address, timeout_ms=200)
+
+    async def asyncTearDown(self) -> None:
+        await self.http.close()
+        await self.server.stop()
+
+    async def respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(self.data)
+        await writer.drain()
+        writer.close()
+
+    async def test_cut_answer_is_a_store_error_and_leaves_a_write_undecided(self) -> None:
+        bodies = {
+            200: b'{"store_revision":12,"revision":12,"lease":4,"items":[],"events":[]}',
+            412: b'{"items":[{"key":"a","value":"MQ==","revision":4}]}',
+        }
+        for status, body in bodies.items():
+            for length in range(0, len(body), 4):
+                self.data = f"HTTP/1.1 {status} X\r\n\r\n".encode() + body[:length]
+                with self.subTest(status=status, length=length):
+                    with self.assertRaises(StoreOutcomeUnknownError):
+                        await self.store.txn((), (Put("a", b"1"),), (Get("a"),))
+                    with self.assertRaises(StoreOutcomeUnknownError):
+                        await self.store.grant(3)
+                    for call in (self.store.get("a"), self.store.range("p/", prefix=True)):
+                        with self.assertRaises(StoreUnavailableError):
+                            await call
+                    with self.assertRaises(StoreUnavailableError):
+                        await anext(self.store.watch("p/", 12))
+
+    async def test_only_a_refusal_states_that_a_write_was_not_executed(self) -> None:
+        for status in (429, 503):
+            self.data = f"HTTP/1.1 {status} X\r\n\r\n".encode()
+            with self.subTest(status=status), self.assertRaises(StoreUnavailableError):
+                await self.store.txn((), (Put("a", b"1"),))
+        for status in (500, 502, 504):
+            self.data = f"HTTP/1.1 {status} X\r\n\r\n".encode()
+            with self.subTest(status=status), self.assertRaises(StoreOutcomeUnknownError):
+                await self.store.txn((), (Put("a", b"1"),))
+
+
 if __name__ == "__main__":
     unittest.main()
