Bound what is read and kept of an answer that does not end

An endpoint may send bytes that are no answer without end, in a head or a body, until we close. Up to 16 MB of each unusable answer were kept before its head was looked at, 64 MB of an answer to another request were read, an event without its end was searched again with each chunk (no answer within 3 s), and a stream that dripped never timed out, as each byte extended the deadline.

The head decides now whether a body is read at all: not for a refusal that did not run or an unusable answer. A failure is kept up to 256 KB, an event and answers to others up to 1 MB. A stream without a complete event for the time between two events is broken. A call has a size and a time for the whole answer; a head that drips into StreamedExchange does not extend its deadline. Informational answers no longer reach callers of the client.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections import defaultdict, deque
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -23,6 +25,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mastickeel.httpmessages import (
+    INFORMATIONAL_STATUSES,
+    AnswerTooLargeError,
     BodyFraming,
     ConnectionEnd,
     ConnectionFailedError,
@@ -48,6 +52,12 @@
 TCP_USER_TIMEOUT_MS = 10_000
 HEADER_LIMIT_BYTES = 64 * 1024
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
+CALL_LIMIT_BYTES = 16 * 1024 * 1024
+"""Maximum size of an answer that ``HttpClient.call`` collects."""
+CALL_TIMEOUT_MS = 30_000
+"""Timeout of a whole call for which no other is given."""
+FOREIGN_LIMIT_BYTES = 1024 * 1024
+"""Maximum size of all answers to other requests that one exchange skips."""
 CHUNK_BYTES = 64 * 1024
 MAX_SKIPPED_ANSWERS = 3
 """Answers to other requests that one exchange skips before the connection is closed."""
@@ -148,13 +158,14 @@
             ExchangeBrokenError: When the connection ends before the answer is complete.
             ExchangeTimeoutError: When a timeout expires.
 
-        ``on_head`` may raise ``ForeignAnswerError``: that answer is skipped, and the next answer
-        on the connection is used instead.
+        Informational (1xx) answers are skipped. ``on_head`` may raise ``ForeignAnswerError``: that
+        answer is skipped too, and the next answer on the connection is used instead.
         """
         has_body = request.method != "HEAD"
         receiver = _Receiver(self, self._client.clock, on_head, on_data, timeouts, has_body)
         connection = HTTP1Connection(self._stream, True, CONNECTION_PARAMETERS)
-        self.deadline_ms = self._client.clock.now() + timeouts.first_byte_ms
+        first_ms = min(timeouts.first_byte_ms, timeouts.total_ms)
+        self.deadline_ms = self._client.clock.now() + first_ms
         self._client.watch_deadline(self)
         try:
             await self._run_exchange(connection, request, receiver)
@@ -227,12 +238,16 @@
         self._on_head = on_head
         self._on_data = on_data
         self._timeouts = timeouts
+        self._end_ms = clock.now() + timeouts.total_ms
         self._has_body = has_body
+        self._foreign_bytes = 0
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
+        if start_line.code in INFORMATIONAL_STATUSES:
+            return None
         self._extend_deadline()
         head = HttpHead(start_line.code, headers)
         self.framing = head.framing if self._has_body else BodyFraming.NONE
@@ -241,6 +256,7 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._extend_deadline()
         if self.foreign:
+            self._skip_foreign(chunk)
             return None
         ready = self._call_handler(lambda: self._on_data(chunk))
         return None if ready is None else self._wait_for_consumer(ready)
@@ -252,7 +268,16 @@
         return
 
     def _extend_deadline(self) -> None:
-        self._connection.deadline_ms = self._clock.now() + self._timeouts.between_bytes_ms
+        next_ms = self._clock.now() + self._timeouts.between_bytes_ms
+        self._connection.deadline_ms = min(next_ms, self._end_ms)
+
+    def _skip_foreign(self, chunk: bytes) -> None:
+        """Counts a part of another request's answer; ends the exchange over the limit."""
+        self._foreign_bytes += len(chunk)
+        if self._foreign_bytes > FOREIGN_LIMIT_BYTES and self.error is None:
+            detail = f"Answers to other requests are over {FOREIGN_LIMIT_BYTES} bytes."
+            self.error = AnswerTooLargeError(detail)
+            self._connection.close()
 
     def _call_handler(self, call: Callable[[], Awaitable[None] | None]) -> Awaitable[None] | None:
         """Calls a callback; stores an error that it raises and ends the exchange."""
@@ -289,6 +314,30 @@
 )
 
 
+class LimitedBody:
+    """Collects a body up to a maximum size."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def append(self, chunk: bytes) -> None:
+        """Adds a part of the body.
+
+        Raises:
+            AnswerTooLargeError: When the body is larger than the limit.
+        """
+        self._size += len(chunk)
+        if self._size > self._limit_bytes:
+            raise AnswerTooLargeError(f"The body is over {self._limit_bytes} bytes.")
+        self._parts.append(chunk)
+
+    def join(self) -> bytes:
+        """Returns the collected body."""
+        return b"".join(self._parts)
+
+
 class HttpClient:
     """Opens and pools connections, and closes those whose deadline passes."""
 
@@ -366,33 +415,42 @@
         idle.append(connection)
 
     async def call(
-        self, address: Address, request: HttpRequest, timeouts: Timeouts | None = None
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeouts: Timeouts | None = None,
+        *,
+        limit_bytes: int = CALL_LIMIT_BYTES,
     ) -> HttpAnswer:
         """Sends a request and returns its complete answer.
 
         Args:
             address: The address of the server.
             request: The request.
-            timeouts: The timeouts of the exchange; None for the default timeouts.
+            timeouts: The timeouts of the exchange; None for the default timeouts. Without one for
+                the whole answer, ``CALL_TIMEOUT_MS`` holds.
+            limit_bytes: Maximum size of the answer's body.
 
         Returns:
             The answer, with any status.
 
         Raises:
             ConnectionFailedError: When nothing was sent.
-            ExchangeBrokenError: When the answer was lost.
+            ExchangeBrokenError: When the answer was lost, or is larger than the limit.
         """
         timeouts = timeouts or Timeouts()
+        if timeouts.total_ms == math.inf:
+            timeouts = replace(timeouts, total_ms=CALL_TIMEOUT_MS)
         connection = await self.connect(address, timeouts=timeouts)
         heads: list[HttpHead] = []
-        parts: list[bytes] = []
+        body = LimitedBody(limit_bytes)
         await connection.exchange(
-            request, on_head=heads.append, on_data=parts.append, timeouts=timeouts
+            request, on_head=heads.append, on_data=body.append, timeouts=timeouts
         )
         if heads[-1].headers.get("Connection", "").lower() == "close":
             connection.close()
         self.release(connection)
-        return HttpAnswer(heads[-1].status, heads[-1].headers, b"".join(parts))
+        return HttpAnswer(heads[-1].status, heads[-1].headers, body.join())
 
     def watch_deadline(self, connection: MonitoredConnection) -> None:
         """Starts to enforce the deadline of a connection."""
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 CONNECT_TIMEOUT_MS = 2_000
 FIRST_BYTE_TIMEOUT_MS = 30_000
 BETWEEN_BYTES_TIMEOUT_MS = 15_000
+INFORMATIONAL_STATUSES = range(100, 200)
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -76,6 +78,14 @@
     ran = ExecutionStatus.UNKNOWN
 
 
+class AnswerTooLargeError(ExchangeBrokenError):
+    """Raised when an answer, or a part that has to be buffered, is larger than its limit."""
+
+    code = "answer_too_large"
+    title = "The answer is larger than its limit."
+    remedy = "Check the server: its answer may not end."
+
+
 class ExchangeTimeoutError(ExchangeBrokenError):
     """Raised when no data arrived on a connection within the timeout."""
 
@@ -130,3 +140,5 @@
     connect_ms: float = CONNECT_TIMEOUT_MS
     first_byte_ms: float = FIRST_BYTE_TIMEOUT_MS
     between_bytes_ms: float = BETWEEN_BYTES_TIMEOUT_MS
+    total_ms: float = math.inf
+    """Time for the whole answer, however steadily it arrives."""
--- a/packages/mastickeel/src/mastickeel/keyvalue.py
+++ b/packages/mastickeel/src/mastickeel/keyvalue.py
@@ -35,6 +35,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from mastickeel.httpclient import RESPONSE_LIMIT_BYTES
 from mastickeel.httpmessages import (
     ConnectionFailedError,
     ExchangeBrokenError,
@@ -54,6 +55,7 @@
 WATCH_SILENCE_TIMEOUT_MS = 30_000
 """A watch without any message for this long, progress notices included, is ended."""
 MAX_BUFFERED_WATCH_MESSAGES = 1_000
+MAX_WATCH_MESSAGE_BYTES = 16 * 1024 * 1024
 BURST_SECONDS = 2.0
 
 
@@ -251,6 +253,10 @@
 
         def on_data(chunk: bytes) -> None:
             pending.extend(chunk)
+            if b"\n" not in chunk:
+                if len(pending) > MAX_WATCH_MESSAGE_BYTES:
+                    raise StoreUnavailableError("A message of a watch is too large.")
+                return
             *lines, rest = bytes(pending).split(b"\n")
             pending[:] = rest
             for line in filter(bytes.strip, lines):
@@ -280,7 +286,12 @@
         self._spend_call()
         request = HttpRequest("POST", path, self._headers, msgspec.json.encode(body))
         try:
-            answer = await self._client.call(self._current_address(), request, self._timeouts)
+            answer = await self._client.call(
+                self._current_address(),
+                request,
+                self._timeouts,
+                limit_bytes=RESPONSE_LIMIT_BYTES,
+            )
         except ConnectionFailedError as error:
             self._switch_address()
             raise StoreUnavailableError(str(error)) from error
--- a/packages/mastickeel/src/mastickeel/streaming.py
+++ b/packages/mastickeel/src/mastickeel/streaming.py
@@ -15,6 +15,7 @@
 
 from mastickeel.httpclient import HEADER_LIMIT_BYTES, configure_socket
 from mastickeel.httpmessages import (
+    INFORMATIONAL_STATUSES,
     BodyFraming,
     ConnectionFailedError,
     ExchangeBrokenError,
@@ -30,7 +31,6 @@
     from mastickeel.httpmessages import HttpRequest, Timeouts
 
 END_OF_HEAD = b"\r\n\r\n"
-INFORMATIONAL_STATUSES = range(100, 200)
 
 
 class _AnswerParser:
@@ -185,10 +185,9 @@
             configure_socket(sock)
 
     def data_received(self, data: bytes) -> None:
-        """Processes received data and extends the deadline."""
+        """Processes received data; extends the deadline once the head is complete."""
         if self._ended.done():
             return
-        self.deadline_ms = self._clock.now() + self._timeouts.between_bytes_ms
         try:
             self._process_data(data)
         except ValueError as error:
@@ -215,6 +214,8 @@
         """Passes head and body of the answer to the callbacks."""
         answer = self._answer
         body = answer.feed(data)
+        if answer.head is not None:
+            self.deadline_ms = self._clock.now() + self._timeouts.between_bytes_ms
         if answer.head is not None and not self._head_delivered:
             self._head_delivered = True
             self._on_head(answer.head)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -254,6 +254,7 @@
         answer = AnswerCollector(
             self._request,
             self._route,
+            clock=context.clock,
             dialect=context.dialect,
             responder=self._responder,
             progress=progress,
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.errors import MastickeelError
+from mastickeel.httpclient import LimitedBody
 from mastickeel.httpmessages import (
     ConnectionFailedError,
     ExchangeBrokenError,
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from mastickeel.clock import Clock
     from mastickeel.httpclient import HttpClient
     from mastickeel.httpmessages import BodyFraming, ConnectionEnd, HttpHead, HttpRequest
     from mastickeel_router.discovery import EndpointRecord
@@ -36,6 +38,8 @@
 """Timeout between two events of a stream: above the pauses caused by preemption, and below the
 eight seconds after which callers disconnect."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_FAILURE_BYTES = 256 * 1024
+"""Maximum size of an answer that reports a failure."""
 
 
 class StreamGapError(MastickeelError):
@@ -47,13 +51,13 @@
     remedy = "Send the request again."
 
 
-class AnswerTooLargeError(MastickeelError):
-    """Raised when an answer that must be collected is over the size limit."""
+class StreamStalledError(MastickeelError):
+    """Raised when bytes of a stream arrive, but no event is complete in time."""
 
-    code = "answer_too_large"
-    status = 502
-    title = "The endpoint's answer is too large to be checked before it is delivered."
-    remedy = "Request a smaller answer, or use a streaming route."
+    code = "stream_stalled"
+    status = 504
+    title = "The endpoint's stream brought no complete event in time."
+    remedy = "Send the request again."
 
 
 class AnswerDroppedError(MastickeelError):
@@ -63,6 +67,13 @@
     title = "The answer was discarded in favour of a larger model's answer."
 
 
+class BodyNotNeededError(MastickeelError):
+    """Raised when the head of an answer shows that its body will not be used."""
+
+    code = "body_not_needed"
+    title = "The answer's head decides what follows."
+
+
 async def send_request(
     client: HttpClient,
     http_request: HttpRequest,
@@ -100,7 +111,9 @@
         result = await answer.finish()
     except AnswerDroppedError as error:
         result = SendResult(SendOutcome.DROPPED, answer.head, reason=error.code)
-    except (ExchangeBrokenError, StreamGapError, AnswerTooLargeError) as error:
+    except BodyNotNeededError:
+        result = answer.result()
+    except (ExchangeBrokenError, StreamGapError, StreamStalledError) as error:
         result = SendResult(SendOutcome.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
     finally:
         end = answer.describe_end(connection.end)
@@ -125,6 +138,7 @@
         request: CallerRequest,
         route: Route,
         *,
+        clock: Clock,
         dialect: Dialect,
         responder: Responder,
         progress: Progress,
@@ -136,6 +150,7 @@
         Args:
             request: The caller's request.
             route: The request's route.
+            clock: Times the events of a stream.
             dialect: Parses the answer's head.
             responder: Writes a stream's events to the caller.
             progress: Progress of the request; updated as the answer arrives.
@@ -148,25 +163,26 @@
         """Whether the route's answers are streams."""
         self._request = request
         self._route = route
+        self._clock = clock
         self._dialect = dialect
         self._responder = responder
         self._progress = progress
         self._accept_head = accept_head
         self._observe_head = observe_head
-        self._parts: list[bytes] = []
-        self._received = 0
+        self._outcome = SendOutcome.BROKEN
+        self._body = LimitedBody(0)
         self._splitter = EventSplitter()
+        self._event_at_ms = 0
         self._framing: BodyFraming | None = None
 
     @property
     def _is_forwarded(self) -> bool:
         """Whether the answer is a stream that is forwarded to the caller as it arrives."""
-        head = self.head
         return (
             self.expects_stream
-            and head is not None
-            and classify_answer(head, expects_stream=True) is SendOutcome.WHOLE
-            and head.status == 200
+            and self.head is not None
+            and self._outcome is SendOutcome.WHOLE
+            and self.head.status == 200
         )
 
     def record_start(self) -> None:
@@ -179,13 +195,19 @@
         Raises:
             ForeignAnswerError: When the answer names another request.
             AnswerDroppedError: When a larger model should answer instead.
+            BodyNotNeededError: When the answer is not delivered, whatever its body is.
         """
         head = self._dialect.read_answer(http_head)
         if head.request_id and head.request_id != self._request.id:
             raise ForeignAnswerError(f"The answer names {head.request_id}, not {self._request.id}.")
         self.head = head
+        self._outcome = classify_answer(head, expects_stream=self.expects_stream)
         self._framing = http_head.framing
         self._observe_head(head)
+        self._event_at_ms = self._clock.now()
+        if self._outcome in (SendOutcome.NOT_RUN, SendOutcome.BROKEN):
+            raise BodyNotNeededError()
+        self._body = LimitedBody(MAX_ANSWER_BYTES if head.status < 300 else MAX_FAILURE_BYTES)
         if self._is_forwarded and not self._progress.head_forwarded and not self._accept_head(head):
             raise AnswerDroppedError()
 
@@ -193,16 +215,20 @@
         """Handles a part of the body.
 
         Raises:
-            AnswerTooLargeError: When a collected answer is over the size limit.
+            AnswerTooLargeError: When a collected answer or an event is over the size limit.
+            StreamStalledError: When no event has been complete for too long.
         """
         assert self.head is not None
-        events = self._splitter.split(chunk) if self.head.is_stream else []
-        if self._is_forwarded:
-            return self._forward(events) if events else None
-        self._received += len(chunk)
-        if self._received > MAX_ANSWER_BYTES:
-            raise AnswerTooLargeError(f"The answer is over {MAX_ANSWER_BYTES} bytes.")
-        self._parts.append(chunk)
+        if self.head.is_stream:
+            events = self._splitter.split(chunk)
+            now = self._clock.now()
+            if not events and now - self._event_at_ms > EVENT_TIMEOUT_MS:
+                raise StreamStalledError(f"No event was complete for {EVENT_TIMEOUT_MS} ms.")
+            if events:
+                self._event_at_ms = now
+            if self._is_forwarded:
+                return self._forward(events) if events else None
+        self._body.append(chunk)
         return None
 
     async def finish(self) -> SendResult:
@@ -212,7 +238,6 @@
             StreamGapError: When the last event follows a gap.
         """
         assert self.head is not None
-        outcome = classify_answer(self.head, expects_stream=self.expects_stream)
         if self.head.is_stream:
             events = self._splitter.finish()
             if events and self._is_forwarded:
@@ -224,12 +249,14 @@
             if not self._progress.head_forwarded:
                 return SendResult(SendOutcome.BROKEN, self.head, reason="the stream had no events")
             self._responder.finish()
-        return SendResult(
-            outcome,
-            self.head,
-            b"".join(self._parts),
-            reason="" if outcome is SendOutcome.WHOLE else f"status {self.head.status}",
-        )
+        return self.result()
+
+    def result(self) -> SendResult:
+        """Returns the result of a send whose answer is complete, or of which the head decides."""
+        assert self.head is not None
+        outcome = self._outcome
+        reason = "" if outcome is SendOutcome.WHOLE else f"status {self.head.status}"
+        return SendResult(outcome, self.head, self._body.join(), reason=reason)
 
     def describe_end(self, connection: ConnectionEnd) -> AnswerEnd | None:
         """Describes how the answer ended; returns None when no head has arrived.
--- a/packages/mastickeel_router/src/mastickeel_router/sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -7,10 +7,13 @@
 
 import msgspec
 
+from mastickeel.httpmessages import AnswerTooLargeError
+
 ID_FIELD = b"id:"
 END_OF_EVENT = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
 """A blank line after another line; a CR at the end of the data may be half of a CRLF."""
 MAX_BLANK_LINE_BYTES = 4
+MAX_EVENT_BYTES = 1024 * 1024
 OUTSIDE_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?>\r\n|\n|\r))*")
 """Blank lines and comments only."""
 
@@ -22,14 +25,11 @@
     """
 
     def __init__(self) -> None:
+        self.pending_bytes = 0
+        """Size of the bytes that arrived after the last complete event."""
         self._parts: list[bytes] = []
         self._tail = b""
 
-    @property
-    def pending_bytes(self) -> int:
-        """Size of the bytes that arrived after the last complete event."""
-        return sum(len(part) for part in self._parts)
-
     def split(self, chunk: bytes) -> list[bytes]:
         """Adds a chunk of the stream and returns the events that are now complete.
 
@@ -38,6 +38,9 @@
 
         Returns:
             The complete events, each with the blank line that ends it.
+
+        Raises:
+            AnswerTooLargeError: When an event is larger than ``MAX_EVENT_BYTES``.
         """
         if not self._parts and chunk.endswith(b"\n\n") and b"\r" not in chunk:
             if chunk.find(b"\n\n") == len(chunk) - 2:
@@ -45,8 +48,11 @@
         elif END_OF_EVENT.search(self._tail + chunk) is None:
             # Only the end of what is buffered can be a part of the next blank line, so an event
             # that arrives in many chunks is searched once.
-            self._parts.append(chunk)
             self._tail = (self._tail + chunk)[-MAX_BLANK_LINE_BYTES:]
+            self._parts.append(chunk)
+            self.pending_bytes += len(chunk)
+            if self.pending_bytes > MAX_EVENT_BYTES:
+                raise AnswerTooLargeError(f"An event is over {MAX_EVENT_BYTES} bytes.")
             return []
         data = b"".join((*self._parts, chunk))
         events: list[bytes] = []
@@ -56,6 +62,7 @@
             start = match.end()
         rest = data[start:]
         self._parts = [rest] if rest else []
+        self.pending_bytes = len(rest)
         self._tail = rest[-MAX_BLANK_LINE_BYTES:]
         return events
 
@@ -69,7 +76,7 @@
         is_complete = rest.endswith((b"\r\r", b"\n\r")) or OUTSIDE_EVENTS.fullmatch(rest)
         if not rest or not is_complete:
             return []
-        self._parts, self._tail = [], b""
+        self._parts, self.pending_bytes, self._tail = [], 0, b""
         return [rest]
 
 
--- a/tests/mastickeel/test_body_ends.py
+++ b/tests/mastickeel/test_body_ends.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from mastickeel.addresses import Address
 from mastickeel.clock import Clock
 from mastickeel.httpclient import HttpClient
 from mastickeel.httpmessages import (
+    AnswerTooLargeError,
     ExchangeBrokenError,
     ExchangeTimeoutError,
     HttpRequest,
@@ -128,5 +131,53 @@
                         await read(await self.serve(data, end))
 
 
+class EndlessBytesTest(unittest.IsolatedAsyncioTestCase):
+    """Bytes that keep arriving are not read for longer, or kept in larger number, than allowed."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = HttpClient(Clock())
+        self.written = 0
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+
+    async def serve(self, start: bytes, block: bytes, pause_s: float = 0.0) -> Address:
+        """Starts a server that writes without end."""
+
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(block)
+                    await writer.drain()
+                    self.written += len(block)
+                    await asyncio.sleep(pause_s)
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        return Address("127.0.0.1", server.sockets[0].getsockname()[1])
+
+    async def test_call_stops_at_the_limit_of_its_body(self) -> None:
+        address = await self.serve(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536)
+        with self.assertRaises(AnswerTooLargeError):
+            await self.client.call(address, REQUEST, TIMEOUTS, limit_bytes=1_000_000)
+        self.assertLess(self.written, 12_000_000)
+
+    async def test_call_ends_when_a_body_arrives_slowly_without_end(self) -> None:
+        address = await self.serve(b"HTTP/1.1 200 OK\r\n\r\n", b"x", 0.05)
+        with self.assertRaises(ExchangeTimeoutError):
+            await self.client.call(address, REQUEST, replace(TIMEOUTS, total_ms=400))
+
+    async def test_head_that_arrives_slowly_without_end_times_out(self) -> None:
+        for start in (b"HTTP/1.1 200 OK\r\nX-A: ", b""):
+            address = await self.serve(start, b"x", 0.05)
+            exchange = StreamedExchange(
+                self.client, on_head=lambda _: None, on_data=lambda _: None, timeouts=TIMEOUTS
+            )
+            with self.subTest(start), self.assertRaises(ExchangeBrokenError):
+                await asyncio.wait_for(exchange.run(address, REQUEST, lambda: None), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
