Bound a refusal, a service's answer and cache events that do not end

A refusal is what its head says, with up to 400 bytes of text within a second; the others have a size, and a time where they are calls.

The bounds of load pages, list, watch message and cache events have no test of their own.

--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/cache_events.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/cache_events.py
@@ -20,6 +20,7 @@
 REFRESH_INTERVAL_MS = 1_000
 REPLAY_TIMEOUT_MS = 1_000
 MAX_REPLAY_BATCHES = 2_000
+MAX_BATCH_BYTES = 1024 * 1024
 RECEIVE_QUEUE_SIZE = 1_000
 SEQUENCE_BYTES = 8
 END_SEQUENCE = b"\xff" * SEQUENCE_BYTES
@@ -81,6 +82,7 @@
         """Applies the event batches of one endpoint to its view, until cancelled."""
         socket = context.socket(zmq.SUB)
         socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_SIZE)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_BATCH_BYTES)
         socket.subscribe(b"")
         socket.connect(f"tcp://{endpoint.events_address}")
         try:
@@ -108,6 +110,7 @@
         if not endpoint.replay_address:
             return
         socket = context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_BATCH_BYTES)
         socket.connect(f"tcp://{endpoint.replay_address}")
         try:
             start = view.next_sequence.to_bytes(SEQUENCE_BYTES, "big")
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/engine.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/engine.py
@@ -10,7 +10,12 @@
 
 from mastickeel.addresses import Address
 from mastickeel.errors import EndpointError, ExecutionStatus, MastickeelError
-from mastickeel.httpmessages import ExchangeBrokenError, HttpRequest, Timeouts
+from mastickeel.httpmessages import (
+    AnswerTooLargeError,
+    ExchangeBrokenError,
+    HttpRequest,
+    Timeouts,
+)
 from mastickeel.streaming import StreamedExchange
 
 if TYPE_CHECKING:
@@ -37,6 +42,8 @@
 BAD_REQUEST_STATUSES = frozenset({400, 413, 422})
 """Statuses caused by the request itself, which every other endpoint would refuse too."""
 MAX_REFUSAL_BYTES = 400
+REFUSAL_TIMEOUT_MS = 1_000
+"""Time for the text of a refusal, which only explains what its status says."""
 
 
 class EndpointRefusedError(EndpointError):
@@ -107,7 +114,7 @@
             before_send,
         )
     except ExchangeBrokenError:
-        if not answer.ended:
+        if not (answer.ended or reader.is_refused):
             raise
     reader.raise_unless_ended(send.endpoint)
 
@@ -136,15 +143,29 @@
         self._answer = answer
         self._status = 0
         self._refusal = bytearray()
+        self._head_at_ms = 0
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the head of the response is that of a refusal."""
+        return self._status not in (0, 200)
 
     def on_head(self, head: HttpHead) -> None:
         """Records the status of the response."""
         self._status = head.status
+        self._head_at_ms = self._clock.now()
 
     def on_data(self, chunk: bytes) -> Awaitable[None] | None:
-        """Passes a chunk of the answer on, or collects the text of a refusal."""
+        """Passes a chunk of the answer on, or collects the text of a refusal.
+
+        Raises:
+            AnswerTooLargeError: When enough of a refusal has arrived.
+        """
         if self._status != 200:
             self._refusal.extend(chunk[:MAX_REFUSAL_BYTES])
+            is_late = self._clock.now() - self._head_at_ms > REFUSAL_TIMEOUT_MS
+            if is_late or len(self._refusal) >= MAX_REFUSAL_BYTES:
+                raise AnswerTooLargeError("The rest of the refusal is not read.")
             return None
         waiting = self._answer.feed(chunk)
         return None if waiting is None else self._wait_for_caller(waiting)
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/load_reports.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/load_reports.py
@@ -29,7 +29,10 @@
 """Age at which a report counts for a third (1/e)."""
 SAMPLING_LAG_MS = 1_000
 """Assumed age of a metrics page when it is read."""
-POLL_TIMEOUTS = Timeouts(connect_ms=500, first_byte_ms=1_000, between_bytes_ms=1_000)
+POLL_TIMEOUTS = Timeouts(
+    connect_ms=500, first_byte_ms=1_000, between_bytes_ms=1_000, total_ms=3_000
+)
+MAX_PAGE_BYTES = 4 * 1024 * 1024
 REQUEST_METRICS = frozenset({"vllm:num_requests_running", "vllm:num_requests_waiting"})
 
 
@@ -106,7 +109,9 @@
         """Fetches one metrics page; on failure the last report stays and ages."""
         request = HttpRequest("GET", "/metrics")
         try:
-            answer = await client.call(Address.parse(endpoint.address), request, POLL_TIMEOUTS)
+            answer = await client.call(
+                Address.parse(endpoint.address), request, POLL_TIMEOUTS, limit_bytes=MAX_PAGE_BYTES
+            )
             if answer.status == 200:
                 self.record_page(endpoint.id, answer.body.decode())
         except (ConnectionFailedError, ExchangeBrokenError, ValueError):
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/services.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/services.py
@@ -13,6 +13,7 @@
     OutcomeUnknownError,
     UnavailableError,
 )
+from mastickeel.httpclient import LimitedBody
 from mastickeel.httpmessages import (
     ConnectionFailedError,
     ExchangeBrokenError,
@@ -35,6 +36,9 @@
 CONNECT_TIMEOUT_MS = 1_000
 FIRST_BYTE_TIMEOUT_MS = 30_000
 BETWEEN_BYTES_TIMEOUT_MS = 10_000
+TOTAL_TIMEOUT_MS = 300_000
+"""Timeout of a whole answer, so that one that arrives slowly without end is not read for ever."""
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 BUSY_RETRY_AFTER_MS = 1_000
 
 
@@ -104,8 +108,10 @@
     ) -> HttpAnswer:
         """Sends a call over a new connection and returns the answer."""
         heads: list[HttpHead] = []
-        body_chunks: list[bytes] = []
-        timeouts = Timeouts(CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, BETWEEN_BYTES_TIMEOUT_MS)
+        body = LimitedBody(MAX_ANSWER_BYTES)
+        timeouts = Timeouts(
+            CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, BETWEEN_BYTES_TIMEOUT_MS, TOTAL_TIMEOUT_MS
+        )
         target = f"{request.path}?{request.query}" if request.query else request.path
         headers = {**request.headers, "X-Request-Id": request.id}
         message = HttpRequest(request.method, target, headers, request.body)
@@ -117,11 +123,11 @@
                 self.authorize(request)
                 before_send()
                 await connection.exchange(
-                    message, on_head=heads.append, on_data=body_chunks.append, timeouts=timeouts
+                    message, on_head=heads.append, on_data=body.append, timeouts=timeouts
                 )
             finally:
                 connection.close()
-        return HttpAnswer(heads[-1].status, heads[-1].headers, b"".join(body_chunks))
+        return HttpAnswer(heads[-1].status, heads[-1].headers, body.join())
 
 
 class _Call:
--- a/packages/mastickeel_router/src/mastickeel_router/membership/platform_list.py
+++ b/packages/mastickeel_router/src/mastickeel_router/membership/platform_list.py
@@ -26,7 +26,7 @@
 the marks that its peers spread."""
 LAG_LIMIT_MS = 120_000
 """Maximum lag of the list: an instance that joined longer ago and is not listed is gone."""
-TIMEOUTS = Timeouts(connect_ms=1_000, first_byte_ms=2_000, between_bytes_ms=2_000)
+TIMEOUTS = Timeouts(connect_ms=1_000, first_byte_ms=2_000, between_bytes_ms=2_000, total_ms=10_000)
 LEAVING = "leaving"
 
 
--- a/tests/mastickeel_router/dispatch/test_streams.py
+++ b/tests/mastickeel_router/dispatch/test_streams.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import unittest
 from dataclasses import replace
@@ -232,6 +233,31 @@
         self.assertTrue(caught.exception.retry_after_ms)
         self.assertEqual([standin.runs for standin in self.fixture.engines], [[], []])
 
+    async def test_refusal_whose_text_does_not_end_is_answered_elsewhere(self) -> None:
+        written = 0
+
+        async def refuse(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            writer.write(b"HTTP/1.1 503 Full\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"x" * 65_536)
+                    await writer.drain()
+                    written += 65_536
+
+        server = await asyncio.start_server(refuse, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        await self.fixture.start(engines=1)
+        (sound,) = self.fixture.view.committed.pools_by_id["pool"].endpoints
+        port = server.sockets[0].getsockname()[1]
+        refusing = Endpoint("refusing", f"127.0.0.1:{port}", "dc")
+        self.fixture.change(Delta(pools=(Pool("pool", endpoints=(refusing, sound)),)))
+        for number in range(20):
+            text, _ = await asyncio.wait_for(self.fixture.run(make_request(number)), 3)
+            self.assertEqual(text, WHOLE)
+        self.assertGreater(written, 0)
+        self.assertLess(written, 20 * 12_000_000)
+
     async def test_retry_budget_bounds_the_load_under_a_fault(self) -> None:
         await self.fixture.start(engines=3)
         self.fixture.fault(fail_rate=1.0, fail_status=503)
