Find a version that answers several times slower before its answers end

The usual pace is that of all instances now; answers wait for it; open streams count as soon as they cannot reach it, also if they are abandoned; answers slower than 2.5 times have a test of their own with a wider tolerance. Logs have pace_ms, and release_target_compared has the evidence.

SlowTargetTest fails without open streams (1 of 2) and with the paces of one instance (2 of 2).

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -355,7 +355,9 @@
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
             store_age_ms=self._store.age_ms,
+            open_sends=self.releases.open_sends,
             on_send=self._record_send,
+            on_send_abandoned=self.releases.record_abandoned,
             on_request_end=self.metrics.record_request,
             on_error_reply=self.metrics.record_error_reply,
         )
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -54,6 +54,20 @@
 )
 
 
+@dataclass(eq=False)
+class OpenSend:
+    """A send whose answer has not ended."""
+
+    endpoint: EndpointRecord
+    route: Route
+    model: str
+    """Name of the model; empty for plain services."""
+    min_pace_ms: Callable[[], float | None]
+    """Returns the least pace that the answer can still have if it ends now; None if unknown."""
+    counted_pace: int = 0
+    """Pace, as ``releases.pace.Pace``, that has been counted for the send before its end."""
+
+
 @dataclass(frozen=True)
 class SendObservation:
     """Observation of an endpoint from one send."""
@@ -65,6 +79,8 @@
     """Name of the model that was used; empty for plain services."""
     pace_ms: float | None = None
     """Mean time per event after a stream's first, or time of a plain answer; None if unknown."""
+    counted_pace: int = 0
+    """Pace, as ``releases.pace.Pace``, that was counted for the send before its end."""
 
 
 @dataclass(frozen=True)
@@ -105,8 +121,12 @@
     """Latest version of each session."""
     store_age_ms: Callable[[], int | None]
     """Returns the time since the store's last answer; None before the first one."""
+    open_sends: set[OpenSend]
+    """Sends whose answers have not ended."""
     on_send: Callable[[SendObservation], None]
     """Callback for each finished send."""
+    on_send_abandoned: Callable[[OpenSend], None]
+    """Callback for each send that the deadline or the caller's disconnect ended."""
     on_request_end: Callable[[RequestSummary], None]
     """Callback for each finished request that matched a route."""
     on_error_reply: Callable[[str], None]
--- a/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
@@ -53,6 +53,8 @@
         """Predicted first-event latency at the endpoint of the last send."""
         self.first_event_at_ms: int | None = None
         """Clock time of the accepted answer's first event; None before it."""
+        self.pace_ms: float | None = None
+        """Mean time per event of the last send's stream; None before enough events."""
         self._context = context
         self._request = request
         self._route = route
@@ -101,6 +103,7 @@
             endpoints=progress.tried_ids,
             took_ms=now - progress.started_ms,
             first_ms=self._first_ms,
+            pace_ms=None if self.pace_ms is None else round(self.pace_ms, 1),
             left_ms=self._deadline_ms - now,
             version=context.table.version,
             store_age_ms=context.store_age_ms(),
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -17,6 +17,7 @@
     REQUEST_REFUSED,
     REQUEST_SERVED,
     SEND_ENDED,
+    OpenSend,
     SendObservation,
 )
 from mastickeel_router.relay.crashes import CrashDetector
@@ -267,6 +268,10 @@
         )
         self._log.log_placement(endpoint)
         context.loads.record_start(endpoint, demand, self._cascade.model)
+        send = OpenSend(
+            endpoint, self._route, self._cascade.model, lambda: self._min_pace_ms(start_ms)
+        )
+        context.open_sends.add(send)
         try:
             result = await send_request(
                 context.client,
@@ -276,8 +281,13 @@
                 route=self._route,
                 remaining_ms=self._remaining_ms,
             )
+        except (StreamClosedError, asyncio.CancelledError):
+            context.on_send_abandoned(send)
+            raise
         finally:
+            context.open_sends.discard(send)
             context.loads.record_end(endpoint.id)
+            self._log.pace_ms = self._stream_pace_ms()
         if result.outcome is SendOutcome.BROKEN or (result.head and result.head.status >= 500):
             progress.failures += 1
         if result.outcome is SendOutcome.UNREACHED:
@@ -287,7 +297,7 @@
             progress.may_have_run = ran_before
         else:
             context.sessions.record_run(self._request.session, endpoint.version)
-        self._record_result(endpoint, result, start_ms)
+        self._record_result(send, result, start_ms)
         return result
 
     def _build_send(self, endpoint: EndpointRecord) -> Send:
@@ -342,8 +352,9 @@
             return False
         return self._placer.has_unlimited()
 
-    def _record_result(self, endpoint: EndpointRecord, result: SendResult, start_ms: int) -> None:
+    def _record_result(self, send: OpenSend, result: SendResult, start_ms: int) -> None:
         """Reports a send to the crash detector, the circuit breakers and the context's callback."""
+        endpoint = send.endpoint
         self._crash_detector.record_send(endpoint, result)
         breakers = self._context.loads.breakers
         if result.outcome is SendOutcome.WHOLE:
@@ -352,7 +363,9 @@
             breakers.record_failure(endpoint.id, unreachable=is_endpoint_absent(result))
         pace_ms = self._pace_ms(result, start_ms)
         self._context.on_send(
-            SendObservation(endpoint, self._route, result, self._cascade.model, pace_ms)
+            SendObservation(
+                endpoint, self._route, result, self._cascade.model, pace_ms, send.counted_pace
+            )
         )
 
     def _pace_ms(self, result: SendResult, start_ms: int) -> float | None:
@@ -360,13 +373,27 @@
 
         None when a stream had too few events or a plain answer is not complete.
         """
-        now = self._context.clock.now()
-        if self._route.kind is not RouteKind.STREAM:
-            return float(now - start_ms) if result.outcome is SendOutcome.WHOLE else None
+        if self._route.kind is RouteKind.STREAM:
+            return self._stream_pace_ms()
+        took_ms = self._context.clock.now() - start_ms
+        return float(took_ms) if result.outcome is SendOutcome.WHOLE else None
+
+    def _stream_pace_ms(self) -> float | None:
+        """Returns the mean time per event of the current stream; None before enough events."""
         events = (self._progress.last_event or 0) - self._events_before
         if self._first_event_at_ms is None or events < MIN_PACE_EVENTS:
             return None
-        return (now - self._first_event_at_ms) / events
+        return (self._context.clock.now() - self._first_event_at_ms) / events
+
+    def _min_pace_ms(self, start_ms: int) -> float | None:
+        """Returns the least pace that the current answer can still have if it ends now."""
+        now = self._context.clock.now()
+        if self._route.kind is not RouteKind.STREAM:
+            return float(now - start_ms)
+        if self._first_event_at_ms is None:
+            return None
+        events = (self._progress.last_event or 0) - self._events_before
+        return (now - self._first_event_at_ms) / max(events + 1, MIN_PACE_EVENTS)
 
     async def _finish(self, step: NextStep, result: SendResult) -> None:
         """Delivers the last send's answer, or raises the error that ends the request."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -9,7 +9,7 @@
 from mastickeel_router.sequential import Block, SequentialTest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan
 
@@ -30,9 +30,14 @@
 """Minimum number of the target's answers before the target gets more than its first share."""
 TOLERATED_EXCESS = 0.05
 """Tolerated excess of the target's share of bad answers over the old version's share."""
+TOLERATED_SLOW_EXCESS = 0.2
+"""Tolerated excess of the target's share of slow answers: wider, as the endpoints of two versions
+may have different load and a somewhat slower version is not a bad one."""
+SLOW_EFFECTS = (0.3, 0.5)
+SLOW_EFFECT_WEIGHTS = (0.5, 0.5)
 REVERT_EVIDENCE = 100.0
 """Evidence at which a release is reverted; a sound version reaches it with a probability of 1 in
-100."""
+100 for bad and for slow answers each."""
 SUSPECT_EVIDENCE = 3.0
 """Evidence from which the target's share is not widened; a sound version reaches it with a
 probability of 1 in 3 at most, and loses it with further good answers."""
@@ -43,13 +48,30 @@
     """Sequential tests of the target against the old version, for each route and for all routes."""
 
     def __init__(self) -> None:
-        self.answers = 0
-        """Number of the target's answers."""
         self.evidence = 0.0
-        """Most evidence against the target on any route or over all routes."""
+        """Most evidence against the target of any kind, on any route or over all routes."""
         self._found_bad = False
-        self._tests_by_route: dict[str, SequentialTest] = {}
-        self._totals_by_route: dict[str, Block] = {}
+        self._bad = _RouteTests(lambda: SequentialTest(TOLERATED_EXCESS))
+        self._slow = _RouteTests(
+            lambda: SequentialTest(
+                TOLERATED_SLOW_EXCESS, effects=SLOW_EFFECTS, weights=SLOW_EFFECT_WEIGHTS
+            )
+        )
+
+    @property
+    def totals(self) -> Block:
+        """Answers of both versions, and the bad ones among them."""
+        return self._bad.total
+
+    @property
+    def slow_totals(self) -> Block:
+        """Answers of both versions whose pace is known, and the slow ones among them."""
+        return self._slow.total
+
+    @property
+    def answers(self) -> int:
+        """Number of the target's answers."""
+        return self.totals.new
 
     @property
     def is_bad(self) -> bool:
@@ -61,25 +83,50 @@
         """Whether there is some evidence that the target is worse on some route or over all."""
         return self.evidence >= SUSPECT_EVIDENCE
 
-    def add_totals(self, blocks_by_route: dict[str, Block]) -> None:
+    def add_totals(
+        self, bad_by_route: dict[str, Block], slow_by_route: dict[str, Block] | None = None
+    ) -> None:
         """Adds the totals over all instances; tests only the increase since the last call.
 
         Args:
-            blocks_by_route: Counts since the order, by route.
+            bad_by_route: Counts of answers and bad ones since the order, by route.
+            slow_by_route: Counts of answers whose pace is known, and slow ones, by route.
         """
+        self._bad.add_totals(bad_by_route)
+        self._slow.add_totals(slow_by_route or {})
+        self.evidence = max(self._bad.evidence, self._slow.evidence)
+        self._found_bad = self._found_bad or self.evidence >= REVERT_EVIDENCE
+
+
+class _RouteTests:
+    """Sequential tests of one kind of fault, for each route and for all routes."""
+
+    def __init__(self, make_test: Callable[[], SequentialTest]) -> None:
+        self.total = Block()
+        """Answers on all routes."""
+        self._make_test = make_test
+        self._tests_by_route: dict[str, SequentialTest] = {}
+        self._totals_by_route: dict[str, Block] = {}
+
+    @property
+    def evidence(self) -> float:
+        """Most evidence on any route or over all routes."""
+        return max((test.evidence for test in self._tests_by_route.values()), default=0.0)
+
+    def add_totals(self, blocks_by_route: dict[str, Block]) -> None:
+        """Tests the increase of the totals since the last call."""
         for route, block in [
             *blocks_by_route.items(),
             (ALL_ROUTES, _sum(blocks_by_route.values())),
         ]:
-            previous = self._totals_by_route.get(route, Block())
-            fresh = _difference(block, previous)
+            fresh = _difference(block, self._totals_by_route.get(route, Block()))
             if fresh is None:
                 continue
             self._totals_by_route[route] = block
-            self._tests_by_route.setdefault(route, SequentialTest(TOLERATED_EXCESS)).add(fresh)
-        self.answers = self._totals_by_route.get(ALL_ROUTES, Block()).new
-        self.evidence = max((test.evidence for test in self._tests_by_route.values()), default=0.0)
-        self._found_bad = self._found_bad or self.evidence >= REVERT_EVIDENCE
+            if route not in self._tests_by_route:
+                self._tests_by_route[route] = self._make_test()
+            self._tests_by_route[route].add(fresh)
+        self.total = self._totals_by_route.get(ALL_ROUTES, Block())
 
 
 def advance_plan(
--- a/packages/mastickeel_router/src/mastickeel_router/releases/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/model.py
@@ -61,3 +61,8 @@
     service: str
     order_revision: int
     blocks_by_route: dict[str, Block] = field(default_factory=dict)
+    """Answers, of which the failures and the very slow ones are bad."""
+    slow_by_route: dict[str, Block] = field(default_factory=dict)
+    """Answers whose pace is known, of which the slow ones are bad."""
+    paces_by_route: dict[str, dict[str, dict[int, int]]] = field(default_factory=dict)
+    """Histograms of the usual paces, by route and model."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -4,7 +4,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections import deque
+from dataclasses import asdict, dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -24,7 +25,7 @@
     ReleasePlan,
     ReleaseState,
 )
-from mastickeel_router.releases.pace import PaceBaseline
+from mastickeel_router.releases.pace import Pace, PaceBaseline, has_pace, is_failure
 from mastickeel_router.releases.sessions import SessionVersions
 from mastickeel_router.sequential import Block
 
@@ -36,7 +37,7 @@
     from mastickeel.clock import Clock
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.gateway.deployment import Deployment
-    from mastickeel_router.relay.context import SendObservation
+    from mastickeel_router.relay.context import OpenSend, SendObservation
     from mastickeel_router.relay.types import CallerRequest
 
 DUTY_TIMING = DutyTiming(ttl_seconds=3, renew_interval_ms=800, campaign_interval_ms=1_800)
@@ -45,6 +46,10 @@
 """Interval at which the holder of the duty evaluates the evidence."""
 REPORT_INTERVAL_MS = 700
 """Interval at which an instance reports its evidence to its peers if the evidence has changed."""
+MAX_WAITING_ANSWERS = 512
+MAX_WAIT_MS = 4_000
+"""Time after which an answer counts as not slow if the usual pace is still unknown: the share of a
+short release is widened then, and a route with little traffic must not hold it up."""
 HASH_SPAN = float(1 << 64)
 SESSION_MOVE_FROM = 0.55
 """Fraction of a release's duration before which no running session moves to the target: sessions
@@ -78,11 +83,25 @@
     "warning",
     "This instance found the target bad; no new sessions go there until the holder decides.",
 )
+TARGET_COMPARED = define_event(
+    2367,
+    "release_target_compared",
+    "info",
+    "This instance holds the duty; answers of the new and the old version, the bad ones, evidence.",
+)
 PLAN_UNREADABLE = define_event(
     2363, "release_plan_unreadable", "warning", "A release's plan is malformed and is ignored."
 )
 
 
+@dataclass(frozen=True)
+class _WaitingAnswer:
+    """An answer that is counted once the usual pace is known."""
+
+    observation: SendObservation
+    since_ms: int
+
+
 class Releases:
     """State of all releases on this instance."""
 
@@ -120,12 +139,16 @@
         self._stored_plans_by_service: dict[str, ReleasePlan] = {}
         self._list_is_older = False
         self._counts_by_service: dict[str, dict[str, Block]] = {}
-        self._reported_by_service: dict[str, dict[str, Block]] = {}
+        self._slow_by_service: dict[str, dict[str, Block]] = {}
+        self._reported_by_service: dict[str, EvidenceReport] = {}
         self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
         self._evidence_by_instance: dict[tuple[str, str], EvidenceReport] = {}
         self.sessions = SessionVersions(clock, session_gap_ms)
         """Latest version of each session."""
+        self.open_sends: set[OpenSend] = set()
+        """Sends of this instance whose answers have not ended."""
         self._pace_baseline = PaceBaseline()
+        self._waiting: deque[_WaitingAnswer] = deque(maxlen=MAX_WAITING_ANSWERS)
         self._plans_read = False
         self._leaving = False
         self.duties_prefix = f"{prefix}/duties/"
@@ -176,6 +199,11 @@
         if self._plans_read:
             self._ordered_while_running.add(order.service)
         self._counts_by_service[order.service] = {}
+        self._slow_by_service[order.service] = {}
+        self._waiting = deque(
+            (one for one in self._waiting if one.observation.endpoint.service != order.service),
+            maxlen=MAX_WAITING_ANSWERS,
+        )
         log(
             ORDER_APPLIED,
             service=order.service,
@@ -265,14 +293,82 @@
         service = observation.endpoint.service
         order = self._orders_by_service.get(service)
         is_target = order is not None and observation.endpoint.version == order.target
-        if order is not None and service in self._running() and _is_informative(observation):
-            bad = self._pace_baseline.is_bad(observation)
-            block = Block(1, int(bad)) if is_target else Block(0, 0, 1, int(bad))
-            counts = self._counts_by_service[service]
-            counts[observation.route.name] = counts.get(observation.route.name, Block()).plus(block)
+        if service in self._running() and _is_informative(observation):
+            counted = self._count_answer(observation)
+            if not counted:
+                self._waiting.append(_WaitingAnswer(observation, self._clock.now()))
         if not is_target:
             self._pace_baseline.record(observation)
 
+    def record_abandoned(self, send: OpenSend) -> None:
+        """Counts a send that ended without an answer if it was slow until then."""
+        if send.endpoint.service in self._running():
+            self._count_open_send(send)
+
+    def _count_answer(self, answer: SendObservation, *, is_due: bool = False) -> bool:
+        """Counts an answer for its version; returns False if it has to wait for the usual pace.
+
+        Args:
+            answer: The answer.
+            is_due: Whether to count an answer whose usual pace is unknown as not slow.
+        """
+        failed = is_failure(answer.result)
+        pace = Pace.USUAL if failed else self._pace_baseline.classify(answer)
+        if pace is None:
+            if not is_due:
+                return False
+            pace = Pace.USUAL
+        if answer.counted_pace < Pace.VERY_SLOW:
+            self._add_count(self._counts_by_service, answer, failed or pace is Pace.VERY_SLOW)
+        if answer.counted_pace < Pace.SLOW and has_pace(answer) and not failed:
+            self._add_count(self._slow_by_service, answer, pace >= Pace.SLOW)
+        return True
+
+    def _count_open_send(self, send: OpenSend) -> None:
+        """Counts an open send as slow or very slow, each once, when it is certain to be."""
+        pace = self._pace_baseline.classify_open(send)
+        if send.counted_pace < Pace.SLOW <= pace:
+            self._add_count(self._slow_by_service, send, True)
+        if send.counted_pace < Pace.VERY_SLOW <= pace:
+            self._add_count(self._counts_by_service, send, True)
+        send.counted_pace = max(send.counted_pace, pace)
+
+    def _add_count(
+        self,
+        counts_by_service: dict[str, dict[str, Block]],
+        answer: SendObservation | OpenSend,
+        is_bad: bool,
+    ) -> None:
+        """Adds an answer to the counts of its endpoint's version."""
+        service, route = answer.endpoint.service, answer.route.name
+        is_target = answer.endpoint.version == self._orders_by_service[service].target
+        block = Block(1, int(is_bad)) if is_target else Block(0, 0, 1, int(is_bad))
+        counts = counts_by_service.setdefault(service, {})
+        counts[route] = counts.get(route, Block()).plus(block)
+
+    def _judge_answers(self, order: ReleaseOrder) -> None:
+        """Updates the usual paces; counts slow open sends and the answers that waited for them."""
+        service = order.service
+        reports = [
+            evidence.paces_by_route
+            for (of_service, instance_id), evidence in self._evidence_by_instance.items()
+            if of_service == service
+            and instance_id != self._instance_id
+            and evidence.order_revision == order.revision
+        ]
+        reports.append(self._pace_baseline.summarize(service))
+        self._pace_baseline.update_usual(service, reports)
+        for send in self.open_sends:
+            if send.endpoint.service == service:
+                self._count_open_send(send)
+        waiting, self._waiting = self._waiting, deque(maxlen=MAX_WAITING_ANSWERS)
+        for answer in waiting:
+            is_due = self._clock.now() - answer.since_ms >= MAX_WAIT_MS
+            if answer.observation.endpoint.service != service or not self._count_answer(
+                answer.observation, is_due=is_due
+            ):
+                self._waiting.append(answer)
+
     def record_evidence(self, instance_id: str, evidence: EvidenceReport) -> None:
         """Stores an instance's evidence; every instance keeps it because any may lead next."""
         self._evidence_by_instance[evidence.service, instance_id] = evidence
@@ -335,7 +431,7 @@
         """Adds the newest evidence of all instances to the comparison of an order."""
         comparison = self._comparison(order)
         was_bad = comparison.is_bad
-        comparison.add_totals(self._sum_evidence(order))
+        comparison.add_totals(*self._sum_evidence(order))
         if comparison.is_bad and not was_bad:
             log(TARGET_AVOIDED, service=order.service, target=order.target)
         return comparison
@@ -423,14 +519,18 @@
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
             for service in self._running():
+                self._judge_answers(self._orders_by_service[service])
                 self._evaluate(self._orders_by_service[service])
-                counts = dict(self._counts_by_service.get(service, {}))
-                if counts == self._reported_by_service.get(service, {}):
-                    continue
-                self._reported_by_service[service] = counts
                 evidence = EvidenceReport(
-                    service, self._orders_by_service[service].revision, counts
+                    service,
+                    self._orders_by_service[service].revision,
+                    dict(self._counts_by_service.get(service, {})),
+                    dict(self._slow_by_service.get(service, {})),
+                    self._pace_baseline.summarize(service),
                 )
+                if evidence == self._reported_by_service.get(service):
+                    continue
+                self._reported_by_service[service] = evidence
                 self.record_evidence(self._instance_id, evidence)
                 for notify in self.on_report:
                     notify(evidence)
@@ -450,7 +550,17 @@
         """Evaluates the evidence of one release and writes the plan if the plan changes."""
         key = f"{self.plans_prefix}{order.service}"
         plan = self._plan(order.service) or await self._read_plan(key, order)
+        known = self._comparison(order).totals
         comparison = self._evaluate(order)
+        if comparison.totals != known:
+            log(
+                TARGET_COMPARED,
+                service=order.service,
+                target=order.target,
+                evidence=round(comparison.evidence, 2),
+                **asdict(comparison.totals),
+                slow=asdict(comparison.slow_totals),
+            )
         began_wall_ms = plan.began_wall_ms or self._clock.wall() - self._since_order_ms(order)
         next_plan = advance_plan(
             replace(plan, began_wall_ms=began_wall_ms),
@@ -464,15 +574,15 @@
             return
         await self._write_plan(key, order, next_plan)
 
-    def _sum_evidence(self, order: ReleaseOrder) -> dict[str, Block]:
-        """Returns the counts of all instances for one order, by route."""
-        sums_by_route: dict[str, Block] = {}
+    def _sum_evidence(self, order: ReleaseOrder) -> tuple[dict[str, Block], dict[str, Block]]:
+        """Returns the counts of bad and slow answers of all instances for an order, by route."""
+        bad_by_route: dict[str, Block] = {}
+        slow_by_route: dict[str, Block] = {}
         for evidence in self._evidence_by_instance.values():
-            if evidence.order_revision != order.revision:
-                continue
-            for route, block in evidence.blocks_by_route.items():
-                sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
-        return sums_by_route
+            if evidence.service == order.service and evidence.order_revision == order.revision:
+                _add_blocks(bad_by_route, evidence.blocks_by_route)
+                _add_blocks(slow_by_route, evidence.slow_by_route)
+        return bad_by_route, slow_by_route
 
     async def _read_plan(self, key: str, order: ReleaseOrder) -> ReleasePlan:
         """Returns the plan from the store, or a new one when the order has none."""
@@ -502,6 +612,11 @@
             self._stored_plans_by_service[plan.service] = plan
 
 
+def _add_blocks(sums_by_route: dict[str, Block], blocks_by_route: dict[str, Block]) -> None:
+    for route, block in blocks_by_route.items():
+        sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
+
+
 def _is_informative(observation: SendObservation) -> bool:
     """Returns whether a send is evidence on its version; refusals of a full endpoint are not."""
     return observation.result.outcome in (SendOutcome.WHOLE, SendOutcome.BROKEN)
--- a/packages/mastickeel_router/src/mastickeel_router/sequential.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sequential.py
@@ -64,28 +64,42 @@
     """One start of the test: the log of its product of likelihood ratios, for each effect."""
 
     number: int
-    log_ratios: list[float] = field(default_factory=lambda: [0.0] * len(EFFECTS))
+    weights: tuple[float, ...]
+    log_ratios: list[float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.log_ratios = [0.0] * len(self.weights)
 
     def evidence(self) -> float:
         """Returns the weighted mean of the products, times this start's part of alpha."""
         products = (math.exp(min(log, 500.0)) for log in self.log_ratios)
-        mean = sum(part * product for part, product in zip(EFFECT_WEIGHTS, products, strict=True))
+        mean = sum(part * product for part, product in zip(self.weights, products, strict=True))
         return mean * alpha_share(self.number)
 
 
 class SequentialTest:
     """Evidence that a new version is worse than the old one by more than a limit."""
 
-    def __init__(self, limit: float) -> None:
+    def __init__(
+        self,
+        limit: float,
+        *,
+        effects: tuple[float, ...] = EFFECTS,
+        weights: tuple[float, ...] = EFFECT_WEIGHTS,
+    ) -> None:
         """Creates a test without answers.
 
         Args:
             limit: Allowed excess of the new version's share of bad answers over the old one's.
+            effects: Excess over the limit, one for each alternative.
+            weights: Weight of each alternative in the evidence; they sum to 1.
         """
         self.judged_answers = 0
         """New answers that have been compared with old ones."""
         self._limit = limit
-        self._starts = [_Start(1)]
+        self._effects = effects
+        self._weights = weights
+        self._starts = [_Start(1, weights)]
         self._answers_since_start = 0
         self._waiting = Block()
         self._old_bad_answers = PRIOR_BAD_ANSWERS
@@ -119,7 +133,7 @@
         old_share = min(
             1 - MIN_SHARE_MARGIN, max(MIN_SHARE_MARGIN, self._old_bad_answers / self._old_answers)
         )
-        for index, effect in enumerate(EFFECTS):
+        for index, effect in enumerate(self._effects):
             new_share = min(1 - MIN_SHARE_MARGIN, old_share + self._limit + effect)
             log = log_ratio(block, old_share, new_share, self._limit)
             for start in self._starts:
@@ -133,7 +147,7 @@
         number = max(start.number for start in self._starts) + 1
         if len(self._starts) >= MAX_STARTS:
             self._starts.remove(min(self._starts, key=_Start.evidence))
-        self._starts.append(_Start(number))
+        self._starts.append(_Start(number, self._weights))
 
 
 def log_ratio(block: Block, old_share: float, new_share: float, limit: float) -> float:
--- a/tests/mastickeel_router/releases/test_decision.py
+++ b/tests/mastickeel_router/releases/test_decision.py
@@ -16,6 +16,7 @@
     advance_plan,
 )
 from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan, ReleaseState
+from mastickeel_router.releases.pace import SLOW_FACTOR, VERY_SLOW_FACTOR
 from mastickeel_router.releases.service import DUTY_TIMING
 from mastickeel_router.sequential import Block
 
@@ -145,6 +146,36 @@
             suspect += comparison.is_suspect
         self.assertLessEqual(suspect, 100 / SUSPECT_EVIDENCE)
 
+    def simulate_paces(self, seed: int, factor: float) -> tuple[bool, int]:
+        """Plays answers of a target slower by a factor; returns whether and when it was found.
+
+        The usual paces have a heavy tail: a third of the answers wait behind long prompts.
+        """
+        rng = random.Random(seed)
+        comparison = VersionComparison()
+        bad, slow = Block(), Block()
+        for answers in range(1, 121):
+            for version, count in ((factor, 1), (1.0, 4)):
+                for _ in range(count):
+                    ratio = version * rng.lognormvariate(0.1, 0.35)
+                    if rng.random() < 0.25:
+                        ratio *= rng.uniform(1.5, 6.0)
+                    pair = [(1, int(ratio > limit)) for limit in (VERY_SLOW_FACTOR, SLOW_FACTOR)]
+                    blocks = [Block(*one) if count == 1 else Block(0, 0, *one) for one in pair]
+                    bad, slow = bad.plus(blocks[0]), slow.plus(blocks[1])
+            comparison.add_totals({"a": bad}, {"a": slow})
+            if comparison.is_bad:
+                return True, answers
+        return False, answers
+
+    def test_target_several_times_slower_is_found_after_a_few_answers(self) -> None:
+        played = [self.simulate_paces(seed, 4.5) for seed in range(40)]
+        self.assertTrue(all(found for found, _ in played))
+        self.assertLess(max(answers for _, answers in played), 30)
+
+    def test_target_with_the_usual_pace_is_kept(self) -> None:
+        self.assertLessEqual(sum(self.simulate_paces(seed, 1.0)[0] for seed in range(100)), 2)
+
     def test_shrinking_counts_are_ignored(self) -> None:
         comparison = VersionComparison()
         comparison.add_totals({"a": Block(10, 0, 50, 0)})
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -20,7 +20,7 @@
 from mastickeel_router.discovery import EndpointRecord, follow_prefix
 from mastickeel_router.duties import CAMPAIGN_JITTER_MS, HELD_POLL_INTERVAL_MS
 from mastickeel_router.gateway import Deployment
-from mastickeel_router.relay.context import SendObservation
+from mastickeel_router.relay.context import OpenSend, SendObservation
 from mastickeel_router.relay.policy import SendOutcome, SendResult
 from mastickeel_router.relay.types import CallerRequest, RequestHead
 from mastickeel_router.releases import EvidenceReport, ReleaseOrder, Releases
@@ -33,6 +33,9 @@
 NEW = replace(OLD, id="e2", version="v2")
 ROUTE = Route("r", "h", "/", RouteKind.REPEATABLE, (Split("s", 1),), 1_000, 200)
 DURATION_MS = 20_000
+MAX_EXPOSED_SHARE = 0.15
+SLACK = 30
+"""Share of a release's requests that a bad version may get, and the requests beyond it."""
 ROLLBACK_MS = 5_000
 """Time after which a bad version gets no requests, as the platform's bounds state."""
 
@@ -95,11 +98,17 @@
         self.releases.record_send(SendObservation(record, ROUTE, SendResult(outcome), "", 40.0))
 
 
-class ReleasesTest(unittest.IsolatedAsyncioTestCase):
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Instances with one store that share evidence and sessions."""
+
+    INSTANCES = 3
+
     async def asyncSetUp(self) -> None:
         self.clock = FakeClock()
         self.store = MemoryStore()
-        self.instances = [Instance(f"i{number}", self.store, self.clock) for number in range(3)]
+        self.instances = [
+            Instance(f"i{number}", self.store, self.clock) for number in range(self.INSTANCES)
+        ]
         for instance in self.instances:
             instance.releases.on_report.append(
                 lambda evidence, instance=instance: self.share_evidence(instance, evidence)
@@ -121,9 +130,9 @@
         for instance in self.instances:
             instance.releases.sessions.apply_run(session, version)
 
-    def order(self, target: str = "v2") -> None:
+    def order(self, target: str = "v2", duration_ms: int = DURATION_MS) -> None:
         for instance in self.instances:
-            instance.releases.apply_order(ReleaseOrder("s", target, DURATION_MS, 7))
+            instance.releases.apply_order(ReleaseOrder("s", target, duration_ms, 7))
 
     async def run_for(self, milliseconds: int, bad: bool = False) -> None:
         """Advances the clock while every instance serves 8 requests each half second."""
@@ -141,6 +150,8 @@
         item = await self.store.get("status/s")
         return item.value.decode() if item else ""
 
+
+class ReleasesTest(FleetCase):
     async def test_target_gets_nothing_before_a_plan_is_known(self) -> None:
         self.order()
         versions = {self.instances[0].choose(f"r{number}") for number in range(200)}
@@ -345,5 +356,66 @@
         self.assertEqual(self.releases._orders_by_service["s"].target, "v3")
 
 
+class SlowTargetTest(FleetCase):
+    """Streams of a target that is eight times slower."""
+
+    INSTANCES = 8
+    DURATION_MS = 15_000
+    REQUESTS_PER_SECOND = 10
+    PACE_MS_BY_VERSION = {"v1": 25.0, "v2": 200.0}
+    KINDS = [(replace(ROUTE, name=name), model) for name in "abc" for model in ("small", "large")]
+
+    async def test_target_whose_answers_are_several_times_slower_is_reverted_in_time(self) -> None:
+        await self.play(events=40)
+
+    async def test_target_whose_answers_outlast_the_release_is_reverted_in_time(self) -> None:
+        await self.play(events=100)
+
+    async def play(self, events: int) -> None:
+        """Plays a release; the target must be reverted before it gets too many requests."""
+        rng = random.Random(29)
+        ends: list[tuple[int, Instance, OpenSend]] = []
+        requests = {"v1": 0, "v2": 0}
+        self.order(duration_ms=self.DURATION_MS)
+        for _ in range(self.DURATION_MS // 50):
+            await self.clock.advance(50)
+            now = self.clock.now()
+            while ends and ends[0][0] <= now:
+                _, instance, send = ends.pop(0)
+                instance.releases.open_sends.discard(send)
+                self.record_end(instance, send)
+            if rng.random() < self.REQUESTS_PER_SECOND / 20:
+                instance = rng.choice(self.instances)
+                version = instance.choose(f"{now}") or "v1"
+                requests[version] += 1
+                send = self.start_send(version, *rng.choice(self.KINDS))
+                instance.releases.open_sends.add(send)
+                lasts_ms = self.PACE_MS_BY_VERSION[version] * events
+                ends.append((now + round(lasts_ms), instance, send))
+                ends.sort(key=lambda end: end[0])
+        self.assertEqual(await self.state(), "reverted")
+        self.assertLess(requests["v2"], MAX_EXPOSED_SHARE * sum(requests.values()) + SLACK)
+
+    def start_send(self, version: str, route: Route, model: str) -> OpenSend:
+        """Returns a stream whose events come at the even pace of a version."""
+        pace_ms, began_ms = self.PACE_MS_BY_VERSION[version], self.clock.now()
+
+        def min_pace_ms() -> float:
+            elapsed_ms = self.clock.now() - began_ms
+            return elapsed_ms / max(elapsed_ms // pace_ms + 1, 6)
+
+        return OpenSend(OLD if version == "v1" else NEW, route, model, min_pace_ms)
+
+    def record_end(self, instance: Instance, send: OpenSend) -> None:
+        """Records a stream that has ended."""
+        pace_ms = self.PACE_MS_BY_VERSION[send.endpoint.version]
+        result = SendResult(SendOutcome.WHOLE)
+        instance.releases.record_send(
+            SendObservation(
+                send.endpoint, send.route, result, send.model, pace_ms, send.counted_pace
+            )
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
