--- a/packages/mastickeel_ctl/src/mastickeel_ctl/client.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/client.py
@@ -75,7 +75,10 @@
             raise UnreachableError(f"{self._url} does not answer: {error}.") from error
         except HTTPClientError as error:
             raise _api_error(error) from error
-        decoded: dict[str, Any] = msgspec.json.decode(answer.body)
+        try:
+            decoded: dict[str, Any] = msgspec.json.decode(answer.body, type=dict)
+        except msgspec.DecodeError as error:
+            raise UnreachableError(f"{self._url} sent an incomplete answer: {error}.") from error
         return decoded
 
 
--- a/tests/mastickeel_ctl/test_cli.py
+++ b/tests/mastickeel_ctl/test_cli.py
@@ -54,6 +54,21 @@
         code, output, _ = await self.run_command("status", "--json")
         self.assertEqual(msgspec.json.decode(output)["instance"], "router-1")
 
+    async def test_answer_that_is_cut_off_is_an_error_with_a_remedy(self) -> None:
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"instance": "rou')
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        code, _, errors = await self.run_command("status", MASTICKEEL_URL=url)
+        self.assertEqual(code, 4)
+        self.assertIn("--url", errors)
+        self.assertNotIn("Traceback", errors)
+
     async def test_apply_and_audit(self) -> None:
         code, output, _ = await self.run_command("apply", text="withdraw version draft-small@1")
         self.assertEqual(code, 0)
