Do not complete a stream whose resume ended before its first new event

A resume is whole now if it ends at the newest event forwarded or later, and, if only its connection marks its end, with at least one new event. Both cases of the test failed before and pass; 39 tests of answers pass.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -8,6 +8,7 @@
 from mastickeel.errors import MastickeelError
 from mastickeel.httpclient import LimitedBody
 from mastickeel.httpmessages import (
+    BodyFraming,
     ConnectionFailedError,
     ExchangeBrokenError,
     ForeignAnswerError,
@@ -22,7 +23,7 @@
 
     from mastickeel.clock import Clock
     from mastickeel.httpclient import HttpClient
-    from mastickeel.httpmessages import BodyFraming, ConnectionEnd, HttpHead, HttpRequest
+    from mastickeel.httpmessages import ConnectionEnd, HttpHead, HttpRequest
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.listener import Responder
     from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect, Progress
@@ -173,6 +174,8 @@
         self._body = LimitedBody(0)
         self._splitter = EventSplitter()
         self._event_at_ms = 0
+        self._newest_event: int | None = None
+        self._has_forwarded = False
         self._framing: BodyFraming | None = None
 
     @property
@@ -242,15 +245,27 @@
             events = self._splitter.finish()
             if events and self._is_forwarded:
                 await self._forward(events)
-            if self._splitter.pending_bytes:
-                reason = "the stream ended inside an event"
+            if reason := self._find_missing_part():
                 return SendResult(SendOutcome.BROKEN, self.head, reason=reason)
         if self._is_forwarded:
-            if not self._progress.head_forwarded:
-                return SendResult(SendOutcome.BROKEN, self.head, reason="the stream had no events")
             self._responder.finish()
         return self.result()
 
+    def _find_missing_part(self) -> str:
+        """Returns why a stream whose framing is complete has been cut off; empty if it has not."""
+        if self._splitter.pending_bytes:
+            return "the stream ended inside an event"
+        if not self._is_forwarded:
+            return ""
+        if not self._progress.head_forwarded:
+            return "the stream had no events"
+        newest, forwarded = self._newest_event, self._progress.last_event
+        if newest is not None and forwarded is not None and newest < forwarded:
+            return f"the stream ended at event {newest}, before event {forwarded}"
+        if not self._has_forwarded and self._framing is BodyFraming.CONNECTION:
+            return "the resumed stream had no new events"
+        return ""
+
     def result(self) -> SendResult:
         """Returns the result of a send whose answer is complete, or of which the head decides."""
         assert self.head is not None
@@ -279,6 +294,7 @@
         gap = ""
         for event in events:
             number = event_sequence(event)
+            self._newest_event = self._newest_event if number is None else number
             if number is not None and last is not None:
                 if number <= last:
                     continue
@@ -289,6 +305,7 @@
             fresh.append(event)
         if fresh:
             self._progress.last_event = last
+            self._has_forwarded = True
             await self._write(b"".join(fresh))
         if gap:
             raise StreamGapError(gap)
--- a/tests/mastickeel_platform/test_answer_ends.py
+++ b/tests/mastickeel_platform/test_answer_ends.py
@@ -73,6 +73,28 @@
         self.assertEqual(reply.body, b"".join(event_bytes(number) for number in range(1, 5)))
         self.assertEqual(self.received_requests()[-1].headers["last-event-id"], "2")
 
+    async def test_resumed_stream_that_ends_before_its_first_new_event_is_not_complete(
+        self,
+    ) -> None:
+        for resumed in (b"", event_bytes(1)):
+
+            async def respond(
+                request: Request, writer: asyncio.StreamWriter, resumed: bytes = resumed
+            ) -> None:
+                is_first = "last-event-id" not in request.headers
+                writer.write(head_bytes(request))
+                writer.write(event_bytes(1) + event_bytes(2)[:5] if is_first else resumed)
+                await writer.drain()
+                writer.close()
+
+            with self.subTest(resumed=resumed):
+                for endpoint in self.endpoints:
+                    endpoint.respond = respond
+                if not self.endpoints:
+                    await self.start_gateway(*[respond] * 4)
+                reply = await self.send_request("/draft/a", f"r-{len(resumed)}")
+                self.assertEqual((reply.complete, reply.body), (False, event_bytes(1)))
+
     async def test_stream_that_ends_inside_an_event_and_cannot_resume_is_cut_off(self) -> None:
         async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
             writer.write(head_bytes(request) + event_bytes(1) + event_bytes(2)[:9])
