Leave endpoints alone that leave or turn requests away

Two rules bind now and no code read them: an endpoint that says in any answer that it leaves (DRAIN) got further requests for as long as its entry said ready, and one that turns a request away with 503 and a time (BUDGET) was asked again at once.

One filter before the choice of version, one in placing, one once the connection is open; retries, resumes, escalations and waits for permits pass through them. Leaving is told to peers. When all endpoints are away a request waits for the first that returns if that is in time, or is refused at once with endpoints_away and the time, by priority and spread.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -1,5 +1,5 @@
-"""Notifications between instances: work sent to engines, release evidence, sessions, crashes and
-rate limits.
+"""Notifications between instances: work sent to engines, release evidence, sessions, crashes, rate
+limits and endpoints that leave.
 
 Lost or late messages lead to a worse placement or a later decision, never to a wrong answer.
 """
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.peers import message
+from mastickeel_router.availability import EndpointLeavingNotice
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.reports import ContentCrashReport, ContentSuccessNotice
 from mastickeel_router.ratelimits import EndpointLimitNotice, PermitReply, PermitRequest
@@ -20,6 +21,7 @@
 
     from mastickeel.peers import PeerLink
     from mastickeel.storeera import StoreEra
+    from mastickeel_router.availability import EndpointAvailability
     from mastickeel_router.fleet.broadcast import Broadcast
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
@@ -119,6 +121,25 @@
     broadcast.register_handler(EndpointLimitNotice, apply)
 
 
+def share_leaving(
+    broadcast: Broadcast, availability: EndpointAvailability, is_listed: Callable[[str], bool]
+) -> None:
+    """Tells the peers which endpoints leave and applies what they tell.
+
+    Args:
+        broadcast: Sends notices to the peers.
+        availability: What endpoints have said to this instance.
+        is_listed: Tells by id whether an endpoint is listed; notices about others are ignored.
+    """
+
+    def apply(sender: str, notice: EndpointLeavingNotice) -> None:
+        if is_listed(notice.endpoint):
+            availability.apply_notice(notice)
+
+    availability.on_notice.append(broadcast.publish)
+    broadcast.register_handler(EndpointLeavingNotice, apply)
+
+
 def serve_permits(link: PeerLink, issuer: PermitIssuer) -> None:
     """Answers the peers' requests for permits."""
 
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -19,6 +19,7 @@
 from mastickeel.peers import PeerLink
 from mastickeel.rendezvous import rank
 from mastickeel.tasks import TaskGroup
+from mastickeel_router.availability import EndpointAvailability
 from mastickeel_router.discovery import EndpointRegistry, follow_prefix
 from mastickeel_router.discovery.feeds import WatchHandler, combine_handlers
 from mastickeel_router.fleet import (
@@ -29,6 +30,7 @@
     share_crashes,
     share_era,
     share_evidence,
+    share_leaving,
     share_limits,
     share_loads,
     share_sessions,
@@ -132,6 +134,8 @@
         """Request contents that crashed endpoints."""
         self.limits = EndpointLimits(clock)
         """Rate limits that endpoints have named."""
+        self.availability = EndpointAvailability(clock, self.rng)
+        """What endpoints have said about taking further requests."""
         self.stopping = False
         """Whether a drain has begun."""
         self.callers_port = 0
@@ -335,6 +339,11 @@
         share_limits(
             broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
         )
+        share_leaving(
+            broadcast,
+            self.availability,
+            lambda endpoint_id: self.registry.get(endpoint_id) is not None,
+        )
         serve_permits(link, self.permit_issuer)
         return link, instances
 
@@ -350,6 +359,7 @@
             budget=self.budget,
             crashes=self.crashes,
             limits=self.limits,
+            availability=self.availability,
             permits=self.permits,
             tasks=self._tasks,
             select_endpoints=self.releases.select_endpoints,
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -14,6 +14,7 @@
     from mastickeel.clock import Clock
     from mastickeel.httpclient import HttpClient
     from mastickeel.tasks import TaskGroup
+    from mastickeel_router.availability import EndpointAvailability
     from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.reports import CrashReports
@@ -111,6 +112,8 @@
     """Reports of contents that crash endpoints; refuses such contents."""
     limits: EndpointLimits
     """Rate limits that endpoints have named."""
+    availability: EndpointAvailability
+    """What endpoints have said about taking further requests."""
     permits: SendPermits
     """Permits to send requests to endpoints with a rate limit."""
     tasks: TaskGroup
--- a/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
@@ -29,6 +29,13 @@
     title = "The service's endpoints accept no more requests at the moment."
 
 
+class EndpointsAwayError(UnavailableError):
+    """Raised when every endpoint has turned requests away for too long."""
+
+    code = "endpoints_away"
+    title = "The service's endpoints have turned requests away for a time."
+
+
 class Placer:
     """Places the sends of one request."""
 
@@ -61,20 +68,27 @@
         Args:
             demand: Resources that the request needs.
             model: Name of the model that runs the request.
-            time_left_ms: Time within which the first event should arrive; limits the wait for a
-                limited endpoint.
+            time_left_ms: Time within which the first event should arrive; limits the wait for an
+                endpoint that is limited or away.
 
         Raises:
             NoEndpointError: When no endpoint is known.
+            EndpointsAwayError: When all endpoints have turned requests away for too long.
             EndpointsLimitedError: When the limits of all endpoints are used up for too long.
         """
         context = self._context
         denied_ids: set[str] = set()
+        until_ms = context.clock.now() + time_left_ms
         while True:
-            records = self._list_endpoints()
-            self.candidate_count = len(records)
-            if not records:
+            known = self._list_endpoints()
+            self.candidate_count = len(known)
+            if not known:
                 raise NoEndpointError(f"No endpoint of {self._service} is known.")
+            time_left_ms = max(0.0, until_ms - context.clock.now())
+            records = [record for record in known if not context.availability.wait_ms(record)]
+            if not records:
+                await self._wait_for_return(known, demand, model, time_left_ms)
+                continue
             open_records = self._list_open(records, denied_ids)
             endpoint = context.loads.choose(self._prefer_untried(open_records), demand, model)
             if endpoint is None:
@@ -89,14 +103,18 @@
 
     def has_unlimited(self) -> bool:
         """Returns whether an endpoint without a rate limit may serve the request now."""
-        limits = self._context.limits
-        return any(limits.limit_of(record) is None for record in self._list_endpoints())
+        limits, availability = self._context.limits, self._context.availability
+        return any(
+            limits.limit_of(record) is None and not availability.wait_ms(record)
+            for record in self._list_endpoints()
+        )
 
     def _is_selectable(self, endpoint: EndpointRecord) -> bool:
         """Returns whether an endpoint may still serve the request after waiting for a permit."""
         return any(
             (record.id, record.started_ms) == (endpoint.id, endpoint.started_ms)
             for record in self._list_endpoints()
+            if not self._context.availability.wait_ms(record)
         )
 
     def _list_open(
@@ -116,6 +134,25 @@
         untried = [record for record in records if record.id not in self._tried_ids]
         return untried or records
 
+    async def _wait_for_return(
+        self, records: Sequence[EndpointRecord], demand: Demand, model: str, time_left_ms: float
+    ) -> None:
+        """Waits until the first of the endpoints that are away returns.
+
+        Raises:
+            EndpointsAwayError: When the first event would arrive after `time_left_ms`.
+        """
+        context = self._context
+        first = min(records, key=context.availability.wait_ms)
+        wait_ms = context.availability.wait_ms(first)
+        expected_ms = context.loads.predict_first_event_ms([first], demand, model)
+        if wait_ms + expected_ms > time_left_ms:
+            raise EndpointsAwayError(
+                f"{first.id} of {self._service} is the first to return.",
+                retry_after_ms=wait_ms,
+            )
+        await context.clock.sleep(wait_ms)
+
     async def _wait_for_limited(
         self,
         records: Sequence[EndpointRecord],
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -27,6 +27,8 @@
     """A complete answer to this request arrived; a stream has been forwarded to its end."""
     UNREACHED = "unreached"
     """No connection could be made, so nothing was sent."""
+    WITHHELD = "withheld"
+    """The endpoint left or turned requests away while the connection was made; nothing was sent."""
     NOT_RUN = "not_run"
     """The request certainly did not run at the endpoint."""
     BROKEN = "broken"
@@ -127,7 +129,7 @@
     """Returns whether the request may be sent again, regardless of the retry budget."""
     if state.remaining_ms < MIN_SEND_MS:
         return False
-    if result.outcome is SendOutcome.UNREACHED:
+    if result.outcome in (SendOutcome.UNREACHED, SendOutcome.WITHHELD):
         return state.unreached < MAX_UNREACHED
     if state.sends >= route.attempts:
         return False
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -21,7 +21,7 @@
     SendObservation,
 )
 from mastickeel_router.relay.crashes import CrashDetector
-from mastickeel_router.relay.placing import Placer
+from mastickeel_router.relay.placing import EndpointsAwayError, Placer
 from mastickeel_router.relay.policy import (
     NextStep,
     RequestState,
@@ -55,6 +55,8 @@
 """Retry time sent to callers while no endpoint is known: endpoints register about once a second."""
 RETRY_JITTER = 0.4
 """Fraction by which a retry time is varied in either direction."""
+RETURN_STEP_MS = 50
+"""Delay of a caller's return for each step of its priority."""
 MAX_ENGINE_PRIORITY = 9
 """Largest priority number that engines accept, which is the least urgent."""
 PRIORITY_STEP_PER_MODEL = 3
@@ -199,9 +201,8 @@
             return True
         if not should_retry(result, self._route, state):
             return False
-        return result.outcome is SendOutcome.UNREACHED or self._context.budget.try_acquire(
-            self._service
-        )
+        is_free = result.outcome in (SendOutcome.UNREACHED, SendOutcome.WITHHELD)
+        return is_free or self._context.budget.try_acquire(self._service)
 
     async def _choose_endpoint(self) -> EndpointRecord:
         """Selects the endpoint of the next send, and waits if its rate limit requires it.
@@ -217,7 +218,10 @@
         except UnavailableError as error:
             if self._progress.may_have_run:
                 raise EndpointError(error.detail) from error
-            error.retry_after_ms = self._jitter(error.retry_after_ms or NO_ENDPOINT_RETRY_MS)
+            if isinstance(error, EndpointsAwayError):
+                error.retry_after_ms = self._spread_return(error.retry_after_ms or 0)
+            else:
+                error.retry_after_ms = self._jitter(error.retry_after_ms or NO_ENDPOINT_RETRY_MS)
             raise
         finally:
             self._log.candidate_count = self._placer.candidate_count
@@ -236,7 +240,12 @@
 
     def _selectable_endpoints(self) -> Sequence[EndpointRecord]:
         """Returns the endpoints that may serve the next send."""
-        known = self._context.registry.usable(self._service)
+        availability = self._context.availability
+        known = [
+            record
+            for record in self._context.registry.usable(self._service)
+            if not availability.is_leaving(record)
+        ]
         failed = self._progress.failures > 0
         return self._context.select_endpoints(
             self._service, self._request, known, pin=self._pin, failed=failed
@@ -260,7 +269,7 @@
             responder=self._responder,
             progress=progress,
             accept_head=self._accept_answer,
-            observe_head=lambda head: context.limits.record_answer(endpoint, head, start_ms),
+            observe_head=lambda head: self._observe_head(endpoint, head, start_ms),
         )
         demand = self._cascade.demand
         self._log.predicted_wait_ms = context.loads.predict_first_event_ms(
@@ -280,6 +289,7 @@
                 answer,
                 route=self._route,
                 remaining_ms=self._remaining_ms,
+                may_send=lambda: context.availability.accepts(endpoint),
             )
         except (StreamClosedError, asyncio.CancelledError):
             context.on_send_abandoned(send)
@@ -290,21 +300,30 @@
             self._log.pace_ms = self._stream_pace_ms()
         if result.outcome is SendOutcome.BROKEN or (result.head and result.head.status >= 500):
             progress.failures += 1
-        if result.outcome is SendOutcome.UNREACHED:
+        if result.outcome in (SendOutcome.UNREACHED, SendOutcome.WITHHELD):
             progress.sends -= 1
             progress.unreached += 1
-        if result.outcome in (SendOutcome.NOT_RUN, SendOutcome.UNREACHED):
+        if result.outcome in (SendOutcome.NOT_RUN, SendOutcome.UNREACHED, SendOutcome.WITHHELD):
             progress.may_have_run = ran_before
         else:
             context.sessions.record_run(self._request.session, endpoint.version)
         self._record_result(send, result, start_ms)
         return result
 
+    def _observe_head(self, endpoint: EndpointRecord, head: AnswerHead, start_ms: int) -> None:
+        """Records what the head of an answer says about its endpoint."""
+        self._context.limits.record_answer(endpoint, head, start_ms)
+        self._context.availability.record_answer(endpoint, head)
+
+    @property
+    def _priority(self) -> int:
+        """Priority of the client account, or else of the route; 0 is the most urgent."""
+        if self._caller is not None and self._caller.priority is not None:
+            return self._caller.priority
+        return self._route.priority
+
     def _build_send(self, endpoint: EndpointRecord) -> Send:
         prompt, progress = self._request.prompt, self._progress
-        priority = self._route.priority
-        if self._caller is not None and self._caller.priority is not None:
-            priority = self._caller.priority
         return Send(
             request=self._request,
             endpoint=endpoint,
@@ -315,7 +334,7 @@
             after_event=progress.last_event,
             engine_priority=(
                 min(
-                    priority + PRIORITY_STEP_PER_MODEL * self._cascade.model_index,
+                    self._priority + PRIORITY_STEP_PER_MODEL * self._cascade.model_index,
                     MAX_ENGINE_PRIORITY,
                 )
                 if prompt is not None
@@ -416,6 +435,11 @@
         """Varies a retry time, so that callers refused together do not retry together."""
         return round(retry_ms * self._context.rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER))
 
+    def _spread_return(self, away_ms: int) -> int:
+        """Delays a return, so that callers come back one after the other and urgent ones first."""
+        rank = self._priority * RETURN_STEP_MS
+        return round(away_ms + rank + self._context.rng.uniform(0, RETRY_JITTER * away_ms))
+
     def _timeout_error(self) -> MastickeelError:
         """Returns the error for a request that has reached its deadline."""
         if self._progress.may_have_run:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -83,6 +83,7 @@
     *,
     route: Route,
     remaining_ms: float,
+    may_send: Callable[[], bool],
 ) -> SendResult:
     """Sends one request and collects or forwards its answer.
 
@@ -93,6 +94,7 @@
         answer: Collects or forwards the answer.
         route: The request's route.
         remaining_ms: Time left until the caller's deadline.
+        may_send: Tells once the connection is open whether the endpoint still wants the request.
 
     Returns:
         The result of the send, which includes errors of the exchange.
@@ -104,6 +106,9 @@
         connection = await client.connect(endpoint.address, timeouts=timeouts, fresh=True)
     except ConnectionFailedError as error:
         return SendResult(SendOutcome.UNREACHED, reason=f"{error.code}: {error.detail}")
+    if not may_send():
+        connection.close()
+        return SendResult(SendOutcome.WITHHELD, reason="the endpoint wants no request now")
     answer.record_start()
     try:
         await connection.exchange(
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -120,6 +120,10 @@
     """Confidence of the model in its answer, 0 to 100; None when not reported."""
     rate_limit: float | None = None
     """Requests a second that the endpoint accepts from all instances; None when it names none."""
+    leaving: bool = False
+    """Whether the endpoint says that it is about to leave."""
+    away_ms: int | None = None
+    """Time for which the endpoint wants no requests from this instance; None when not stated."""
 
 
 @dataclass(frozen=True)
--- a/tests/mastickeel_router/relay/test_placing.py
+++ b/tests/mastickeel_router/relay/test_placing.py
@@ -6,9 +6,12 @@
 import unittest
 from types import SimpleNamespace
 
+from tornado.httputil import HTTPHeaders
+
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
 from mastickeel.tasks import TaskGroup
+from mastickeel_router.availability import EndpointAvailability
 from mastickeel_router.breaker import FAILURES_TO_OPEN
 from mastickeel_router.discovery import EndpointRecord
 from mastickeel_router.placement import Demand, EndpointLoads
@@ -19,7 +22,13 @@
     PermitIssuer,
     SendPermits,
 )
-from mastickeel_router.relay.placing import EndpointsLimitedError, NoEndpointError, Placer
+from mastickeel_router.relay.placing import (
+    EndpointsAwayError,
+    EndpointsLimitedError,
+    NoEndpointError,
+    Placer,
+)
+from mastickeel_router.relay.types import AnswerHead
 
 RECORDS = [EndpointRecord(f"e{n}", "s", Address("127.0.0.1", 1), "dc-a", "v1") for n in range(3)]
 INTERVAL_MS = 1_000
@@ -41,8 +50,13 @@
             link=None,
             list_peers=tuple,
         )
+        self.availability = EndpointAvailability(self.clock, random.Random(2))
         context = SimpleNamespace(
-            clock=self.clock, loads=self.loads, limits=self.limits, permits=permits
+            clock=self.clock,
+            loads=self.loads,
+            limits=self.limits,
+            permits=permits,
+            availability=self.availability,
         )
         self.records = list(RECORDS)
         self.tried_ids: list[str] = []
@@ -70,7 +84,7 @@
         async def place_one() -> None:
             try:
                 endpoint = await self.placer.place(Demand(), "", wait_ms + PLAIN_REQUEST_MS)
-            except (NoEndpointError, EndpointsLimitedError) as error:
+            except (NoEndpointError, EndpointsLimitedError, EndpointsAwayError) as error:
                 self.errors.append(error)
             else:
                 self.placed.append((endpoint.id, self.clock.now() - self.start_ms))
@@ -140,6 +154,36 @@
         self.limit(2)
         self.assertFalse(self.placer.has_unlimited())
 
+    def turn_away(self, number: int, away_ms: int) -> None:
+        """Lets an endpoint turn a request away for a time."""
+        head = AnswerHead(503, HTTPHeaders(), "a1", not_run=True, away_ms=away_ms)
+        self.availability.record_answer(RECORDS[number], head)
+
+    async def test_endpoints_that_are_away_get_nothing_while_others_accept(self) -> None:
+        self.turn_away(0, 10_000)
+        self.turn_away(1, 10_000)
+        await self.place(20)
+        self.assertEqual({endpoint for endpoint, _ in self.placed}, {"e2"})
+
+    async def test_requests_wait_for_the_first_return_if_it_is_in_time(self) -> None:
+        for number, away_ms in enumerate((5_000, 600, 9_000)):
+            self.turn_away(number, away_ms)
+        await self.place(wait_ms=300)
+        self.assertEqual([type(error) for error in self.errors], [EndpointsAwayError])
+        await self.place(wait_ms=1_000)
+        await self.clock.advance(720)
+        ((endpoint, sent_ms),) = self.placed
+        self.assertEqual((endpoint, 600 <= sent_ms <= 720), ("e1", True))
+
+    async def test_endpoint_that_turns_away_while_a_permit_is_awaited_gets_nothing(self) -> None:
+        self.limit(0, 1, 2)
+        await self.place(1, wait_ms=INTERVAL_MS)
+        for number in range(3):
+            self.turn_away(number, LONG_MS)
+        await self.clock.advance(INTERVAL_MS)
+        self.assertEqual(self.placed, [])
+        self.assertIsInstance(self.errors[0], EndpointsAwayError)
+
 
 if __name__ == "__main__":
     unittest.main()
