Test failures apart from paces, and hold a release with much evidence against it

Failures, slow and very slow answers have tests of their own. Paces count only for sends since the order: of the sends before it only the slow ones are still open. Alternatives end at a share of 0.95 (one good answer of 24 had refuted 1.0); the tolerated excess is 0.1, and 0.2 when the target has all new requests.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -63,6 +63,8 @@
     route: Route
     model: str
     """Name of the model; empty for plain services."""
+    started_ms: int
+    """Clock time at which the send started."""
     min_pace_ms: Callable[[], float | None]
     """Returns the least pace that the answer can still have if it ends now; None if unknown."""
     counted_pace: int = 0
@@ -82,6 +84,8 @@
     """Mean time per event after a stream's first, or time of a plain answer; None if unknown."""
     counted_pace: int = 0
     """Pace, as ``releases.pace.Pace``, that was counted for the send before its end."""
+    started_ms: int = 0
+    """Clock time at which the send started."""
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -278,7 +278,11 @@
         self._log.log_placement(endpoint)
         context.loads.record_start(endpoint, demand, self._cascade.model)
         send = OpenSend(
-            endpoint, self._route, self._cascade.model, lambda: self._min_pace_ms(start_ms)
+            endpoint,
+            self._route,
+            self._cascade.model,
+            start_ms,
+            lambda: self._min_pace_ms(start_ms),
         )
         context.open_sends.add(send)
         try:
@@ -383,7 +387,13 @@
         pace_ms = self._pace_ms(result, start_ms)
         self._context.on_send(
             SendObservation(
-                endpoint, self._route, result, self._cascade.model, pace_ms, send.counted_pace
+                endpoint,
+                self._route,
+                result,
+                self._cascade.model,
+                pace_ms,
+                send.counted_pace,
+                start_ms,
             )
         )
 
--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -26,18 +26,26 @@
 """Fraction of the release's duration after which the old endpoints may stop. By then most requests
 that the old version was still running have ended, and the 3.4 s left of the usual 24 s suffice to
 replace a lost holder of the duty."""
+LAST_MOMENT = 0.93
+"""Fraction of the release's duration after which a release that is held is reverted."""
+MIN_STEP = 0.05
+"""Fraction of the release's duration between two steps, in which answers of a new share arrive."""
 MIN_ANSWERS_TO_WIDEN = 8
 """Minimum number of the target's answers before the target gets more than its first share."""
 TOLERATED_EXCESS = 0.05
 """Tolerated excess of the target's share of bad answers over the old version's share."""
-TOLERATED_SLOW_EXCESS = 0.2
-"""Tolerated excess of the target's share of slow answers: wider, as the endpoints of two versions
-may have different load and a somewhat slower version is not a bad one."""
+TOLERATED_SLOW_EXCESS = 0.1
+"""Tolerated excess of the target's shares of slow and very slow answers: a somewhat slower version
+is not a bad one."""
+TOLERATED_SLOW_EXCESS_AT_FULL_SHARE = 0.2
+"""The same while the target has all new requests, as its endpoints then have more load."""
 SLOW_EFFECTS = (0.3, 0.5)
 SLOW_EFFECT_WEIGHTS = (0.5, 0.5)
 REVERT_EVIDENCE = 100.0
 """Evidence at which a release is reverted; a sound version reaches it with a probability of 1 in
-100 for bad and for slow answers each."""
+100 for failures, slow and very slow answers each."""
+HOLD_EVIDENCE = 10.0
+"""Evidence from which a release is not completed, and is reverted at its end."""
 SUSPECT_EVIDENCE = 3.0
 """Evidence from which the target's share is not widened; a sound version reaches it with a
 probability of 1 in 3 at most, and loses it with further good answers."""
@@ -51,23 +59,25 @@
         self.evidence = 0.0
         """Most evidence against the target of any kind, on any route or over all routes."""
         self._found_bad = False
-        self._bad = _RouteTests(lambda: SequentialTest(TOLERATED_EXCESS))
-        self._slow = _RouteTests(
-            lambda: SequentialTest(
-                TOLERATED_SLOW_EXCESS, effects=SLOW_EFFECTS, weights=SLOW_EFFECT_WEIGHTS
-            )
-        )
+        self._failures = _RouteTests(lambda: SequentialTest(TOLERATED_EXCESS))
+        self._slow = _RouteTests(_make_slow_test)
+        self._very_slow = _RouteTests(_make_slow_test)
 
     @property
     def totals(self) -> Block:
-        """Answers of both versions, and the bad ones among them."""
-        return self._bad.total
+        """Answers of both versions, and the failures among them."""
+        return self._failures.total
 
     @property
     def slow_totals(self) -> Block:
         """Answers of both versions whose pace is known, and the slow ones among them."""
         return self._slow.total
 
+    @property
+    def very_slow_totals(self) -> Block:
+        """Answers of both versions whose pace is known, and the very slow ones among them."""
+        return self._very_slow.total
+
     @property
     def answers(self) -> int:
         """Number of the target's answers."""
@@ -78,26 +88,47 @@
         """Whether the target was significantly worse on some route or over all routes."""
         return self._found_bad
 
+    @property
+    def is_held(self) -> bool:
+        """Whether there is so much evidence against the target that it must not be completed."""
+        return self.evidence >= HOLD_EVIDENCE
+
     @property
     def is_suspect(self) -> bool:
         """Whether there is some evidence that the target is worse on some route or over all."""
         return self.evidence >= SUSPECT_EVIDENCE
 
     def add_totals(
-        self, bad_by_route: dict[str, Block], slow_by_route: dict[str, Block] | None = None
+        self,
+        failures_by_route: dict[str, Block],
+        slow_by_route: dict[str, Block] | None = None,
+        very_slow_by_route: dict[str, Block] | None = None,
+        *,
+        share: float = FIRST_SHARE,
     ) -> None:
         """Adds the totals over all instances; tests only the increase since the last call.
 
         Args:
-            bad_by_route: Counts of answers and bad ones since the order, by route.
+            failures_by_route: Counts of answers and failures since the order, by route.
             slow_by_route: Counts of answers whose pace is known, and slow ones, by route.
+            very_slow_by_route: Counts of answers whose pace is known, and very slow ones, by route.
+            share: The target's share of new requests.
         """
-        self._bad.add_totals(bad_by_route)
-        self._slow.add_totals(slow_by_route or {})
-        self.evidence = max(self._bad.evidence, self._slow.evidence)
+        slow_limit = TOLERATED_SLOW_EXCESS
+        if share >= 1.0:
+            slow_limit = TOLERATED_SLOW_EXCESS_AT_FULL_SHARE
+        self._failures.add_totals(failures_by_route, TOLERATED_EXCESS)
+        self._slow.add_totals(slow_by_route or {}, slow_limit)
+        self._very_slow.add_totals(very_slow_by_route or {}, slow_limit)
+        tests = (self._failures, self._slow, self._very_slow)
+        self.evidence = max(test.evidence for test in tests)
         self._found_bad = self._found_bad or self.evidence >= REVERT_EVIDENCE
 
 
+def _make_slow_test() -> SequentialTest:
+    return SequentialTest(TOLERATED_SLOW_EXCESS, effects=SLOW_EFFECTS, weights=SLOW_EFFECT_WEIGHTS)
+
+
 class _RouteTests:
     """Sequential tests of one kind of fault, for each route and for all routes."""
 
@@ -113,8 +144,8 @@
         """Most evidence on any route or over all routes."""
         return max((test.evidence for test in self._tests_by_route.values()), default=0.0)
 
-    def add_totals(self, blocks_by_route: dict[str, Block]) -> None:
-        """Tests the increase of the totals since the last call."""
+    def add_totals(self, blocks_by_route: dict[str, Block], limit: float) -> None:
+        """Tests the increase of the totals since the last call, with an allowed excess."""
         for route, block in [
             *blocks_by_route.items(),
             (ALL_ROUTES, _sum(blocks_by_route.values())),
@@ -125,7 +156,7 @@
             self._totals_by_route[route] = block
             if route not in self._tests_by_route:
                 self._tests_by_route[route] = self._make_test()
-            self._tests_by_route[route].add(fresh)
+            self._tests_by_route[route].add(fresh, limit=limit)
         self.total = self._totals_by_route.get(ALL_ROUTES, Block())
 
 
@@ -137,6 +168,7 @@
     answers: int,
     is_bad: bool,
     is_suspect: bool,
+    is_held: bool = False,
 ) -> ReleasePlan:
     """Returns the plan with its next share and state.
 
@@ -147,19 +179,25 @@
         answers: Number of the target's answers.
         is_bad: Whether the target is significantly worse than the old version.
         is_suspect: Whether there is some evidence that it is worse; its share is then not widened.
+        is_held: Whether there is much evidence that it is worse; it is then not completed.
     """
     if plan.state is not ReleaseState.RUNNING:
         return plan
-    if is_bad:
-        return replace(plan, state=ReleaseState.REVERTED, share=0.0)
     progress = elapsed_ms / max(1, order.duration_ms)
-    share = FIRST_SHARE
-    if progress >= SECOND_SHARE_FROM and answers >= MIN_ANSWERS_TO_WIDEN and not is_suspect:
-        share = 1.0 if progress >= FULL_SHARE_FROM else SECOND_SHARE
-    share = max(share, plan.share)
-    if progress >= COMPLETE_FROM and share >= 1.0:
-        return replace(plan, state=ReleaseState.COMPLETE, share=1.0)
-    return replace(plan, share=share)
+    if is_bad or (is_held and progress >= LAST_MOMENT):
+        return replace(plan, state=ReleaseState.REVERTED, share=0.0)
+    if plan.share >= 1.0 and progress >= COMPLETE_FROM and not is_held:
+        return replace(plan, state=ReleaseState.COMPLETE)
+    share = plan.share or FIRST_SHARE
+    may_widen = answers >= MIN_ANSWERS_TO_WIDEN and not is_suspect
+    if may_widen and elapsed_ms - plan.widened_ms >= MIN_STEP * order.duration_ms:
+        if progress >= FULL_SHARE_FROM and share >= SECOND_SHARE:
+            share = 1.0
+        elif progress >= SECOND_SHARE_FROM:
+            share = max(share, SECOND_SHARE)
+    if share == plan.share:
+        return plan
+    return replace(plan, share=share, widened_ms=round(elapsed_ms))
 
 
 def _sum(blocks: Iterable[Block]) -> Block:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/model.py
@@ -38,6 +38,8 @@
     state: ReleaseState = ReleaseState.RUNNING
     share: float = 0.0
     """Share of sessions and requests that the target gets, 0 to 1."""
+    widened_ms: int = 0
+    """Time from the order to the last change of the share."""
     began_wall_ms: int = 0
     """Wall-clock time at which the order was first seen, in Unix milliseconds."""
 
@@ -61,8 +63,10 @@
     service: str
     order_revision: int
     blocks_by_route: dict[str, Block] = field(default_factory=dict)
-    """Answers, of which the failures and the very slow ones are bad."""
+    """Answers, of which the failures are bad."""
     slow_by_route: dict[str, Block] = field(default_factory=dict)
     """Answers whose pace is known, of which the slow ones are bad."""
+    very_slow_by_route: dict[str, Block] = field(default_factory=dict)
+    """Answers whose pace is known, of which the very slow ones are bad."""
     paces_by_route: dict[str, dict[str, dict[int, int]]] = field(default_factory=dict)
     """Histograms of the usual paces, by route and model."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/pace.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/pace.py
@@ -23,7 +23,8 @@
 """Multiple of the usual pace from which an answer is slow; load alone slows engines by a factor of
 less than two."""
 VERY_SLOW_FACTOR = 3.5
-"""Multiple of the usual pace from which an answer is as bad as a failure."""
+"""Multiple of the usual pace from which an answer is very slow: fewer answers of a sound version
+are, which helps to find a version of which only a part is several times slower."""
 MAX_SAMPLES = 64
 """Maximum number of samples for each service, route and model."""
 MAX_BASELINES = 1_024
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -30,7 +30,7 @@
 from mastickeel_router.sequential import Block
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Sequence
+    from collections.abc import Callable, Coroutine, Iterable, Sequence
     from typing import Any
 
     from mastickeel._kvtypes import KeyValue
@@ -47,9 +47,8 @@
 REPORT_INTERVAL_MS = 700
 """Interval at which an instance reports its evidence to its peers if the evidence has changed."""
 MAX_WAITING_ANSWERS = 512
-MAX_WAIT_MS = 4_000
-"""Time after which an answer counts as not slow if the usual pace is still unknown: the share of a
-short release is widened then, and a route with little traffic must not hold it up."""
+MAX_WAIT_MS = 10_000
+"""Time for which an answer waits until the usual pace is known; after it, it tells nothing."""
 HASH_SPAN = float(1 << 64)
 SESSION_MOVE_FROM = 0.55
 """Fraction of a release's duration before which no running session moves to the target: sessions
@@ -139,7 +138,10 @@
         self._stored_plans_by_service: dict[str, ReleasePlan] = {}
         self._list_is_older = False
         self._counts_by_service: dict[str, dict[str, Block]] = {}
-        self._slow_by_service: dict[str, dict[str, Block]] = {}
+        self._counts_by_pace: dict[Pace, dict[str, dict[str, Block]]] = {
+            Pace.SLOW: {},
+            Pace.VERY_SLOW: {},
+        }
         self._reported_by_service: dict[str, EvidenceReport] = {}
         self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
         self._evidence_by_instance: dict[tuple[str, str], EvidenceReport] = {}
@@ -199,7 +201,8 @@
         if self._plans_read:
             self._ordered_while_running.add(order.service)
         self._counts_by_service[order.service] = {}
-        self._slow_by_service[order.service] = {}
+        for counts_by_service in self._counts_by_pace.values():
+            counts_by_service[order.service] = {}
         self._waiting = deque(
             (one for one in self._waiting if one.observation.endpoint.service != order.service),
             maxlen=MAX_WAITING_ANSWERS,
@@ -294,43 +297,42 @@
         order = self._orders_by_service.get(service)
         is_target = order is not None and observation.endpoint.version == order.target
         if service in self._running() and _is_informative(observation):
-            counted = self._count_answer(observation)
-            if not counted:
+            failed = is_failure(observation.result)
+            self._add_count(self._counts_by_service, observation, failed)
+            counts_pace = not failed and has_pace(observation) and self._is_of_release(observation)
+            if counts_pace and not self._count_pace(observation):
                 self._waiting.append(_WaitingAnswer(observation, self._clock.now()))
         if not is_target:
             self._pace_baseline.record(observation)
 
     def record_abandoned(self, send: OpenSend) -> None:
         """Counts a send that ended without an answer if it was slow until then."""
-        if send.endpoint.service in self._running():
+        if send.endpoint.service in self._running() and self._is_of_release(send):
             self._count_open_send(send)
 
-    def _count_answer(self, answer: SendObservation, *, is_due: bool = False) -> bool:
-        """Counts an answer for its version; returns False if it has to wait for the usual pace.
+    def _is_of_release(self, send: SendObservation | OpenSend) -> bool:
+        """Returns whether a send started after the order.
 
-        Args:
-            answer: The answer.
-            is_due: Whether to count an answer whose usual pace is unknown as not slow.
+        Of the sends before it only the slow ones are still open, whatever their version.
         """
-        failed = is_failure(answer.result)
-        pace = Pace.USUAL if failed else self._pace_baseline.classify(answer)
+        return send.started_ms >= self._order_received_ms_by_service[send.endpoint.service]
+
+    def _count_pace(self, answer: SendObservation) -> bool:
+        """Counts the pace of an answer; returns False if it has to wait for the usual pace."""
+        pace = self._pace_baseline.classify(answer)
         if pace is None:
-            if not is_due:
-                return False
-            pace = Pace.USUAL
-        if answer.counted_pace < Pace.VERY_SLOW:
-            self._add_count(self._counts_by_service, answer, failed or pace is Pace.VERY_SLOW)
-        if answer.counted_pace < Pace.SLOW and has_pace(answer) and not failed:
-            self._add_count(self._slow_by_service, answer, pace >= Pace.SLOW)
+            return False
+        for limit, counts_by_service in self._counts_by_pace.items():
+            if answer.counted_pace < limit:
+                self._add_count(counts_by_service, answer, pace >= limit)
         return True
 
     def _count_open_send(self, send: OpenSend) -> None:
         """Counts an open send as slow or very slow, each once, when it is certain to be."""
         pace = self._pace_baseline.classify_open(send)
-        if send.counted_pace < Pace.SLOW <= pace:
-            self._add_count(self._slow_by_service, send, True)
-        if send.counted_pace < Pace.VERY_SLOW <= pace:
-            self._add_count(self._counts_by_service, send, True)
+        for limit, counts_by_service in self._counts_by_pace.items():
+            if send.counted_pace < limit <= pace:
+                self._add_count(counts_by_service, send, True)
         send.counted_pace = max(send.counted_pace, pace)
 
     def _add_count(
@@ -359,14 +361,14 @@
         reports.append(self._pace_baseline.summarize(service))
         self._pace_baseline.update_usual(service, reports)
         for send in self.open_sends:
-            if send.endpoint.service == service:
+            if send.endpoint.service == service and self._is_of_release(send):
                 self._count_open_send(send)
+        oldest_ms = self._clock.now() - MAX_WAIT_MS
         waiting, self._waiting = self._waiting, deque(maxlen=MAX_WAITING_ANSWERS)
         for answer in waiting:
-            is_due = self._clock.now() - answer.since_ms >= MAX_WAIT_MS
-            if answer.observation.endpoint.service != service or not self._count_answer(
-                answer.observation, is_due=is_due
-            ):
+            is_other = answer.observation.endpoint.service != service
+            counted = not is_other and self._count_pace(answer.observation)
+            if not counted and answer.since_ms > oldest_ms:
                 self._waiting.append(answer)
 
     def record_evidence(self, instance_id: str, evidence: EvidenceReport) -> None:
@@ -431,7 +433,9 @@
         """Adds the newest evidence of all instances to the comparison of an order."""
         comparison = self._comparison(order)
         was_bad = comparison.is_bad
-        comparison.add_totals(*self._sum_evidence(order))
+        plan = self._plan(order.service)
+        share = plan.share if plan is not None else 0.0
+        comparison.add_totals(*self._sum_evidence(order), share=share)
         if comparison.is_bad and not was_bad:
             log(TARGET_AVOIDED, service=order.service, target=order.target)
         return comparison
@@ -525,7 +529,8 @@
                     service,
                     self._orders_by_service[service].revision,
                     dict(self._counts_by_service.get(service, {})),
-                    dict(self._slow_by_service.get(service, {})),
+                    dict(self._counts_by_pace[Pace.SLOW].get(service, {})),
+                    dict(self._counts_by_pace[Pace.VERY_SLOW].get(service, {})),
                     self._pace_baseline.summarize(service),
                 )
                 if evidence == self._reported_by_service.get(service):
@@ -560,6 +565,7 @@
                 evidence=round(comparison.evidence, 2),
                 **asdict(comparison.totals),
                 slow=asdict(comparison.slow_totals),
+                very_slow=asdict(comparison.very_slow_totals),
             )
         began_wall_ms = plan.began_wall_ms or self._clock.wall() - self._since_order_ms(order)
         next_plan = advance_plan(
@@ -569,20 +575,26 @@
             answers=comparison.answers,
             is_bad=comparison.is_bad,
             is_suspect=comparison.is_suspect,
+            is_held=comparison.is_held,
         )
         if next_plan == plan == self._stored_plans_by_service.get(order.service):
             return
         await self._write_plan(key, order, next_plan)
 
-    def _sum_evidence(self, order: ReleaseOrder) -> tuple[dict[str, Block], dict[str, Block]]:
-        """Returns the counts of bad and slow answers of all instances for an order, by route."""
-        bad_by_route: dict[str, Block] = {}
-        slow_by_route: dict[str, Block] = {}
-        for evidence in self._evidence_by_instance.values():
-            if evidence.service == order.service and evidence.order_revision == order.revision:
-                _add_blocks(bad_by_route, evidence.blocks_by_route)
-                _add_blocks(slow_by_route, evidence.slow_by_route)
-        return bad_by_route, slow_by_route
+    def _sum_evidence(
+        self, order: ReleaseOrder
+    ) -> tuple[dict[str, Block], dict[str, Block], dict[str, Block]]:
+        """Returns the failures, slow and very slow answers of all instances, by route."""
+        reports = [
+            evidence
+            for evidence in self._evidence_by_instance.values()
+            if evidence.service == order.service and evidence.order_revision == order.revision
+        ]
+        return (
+            _sum_by_route(evidence.blocks_by_route for evidence in reports),
+            _sum_by_route(evidence.slow_by_route for evidence in reports),
+            _sum_by_route(evidence.very_slow_by_route for evidence in reports),
+        )
 
     async def _read_plan(self, key: str, order: ReleaseOrder) -> ReleasePlan:
         """Returns the plan from the store, or a new one when the order has none."""
@@ -612,9 +624,13 @@
             self._stored_plans_by_service[plan.service] = plan
 
 
-def _add_blocks(sums_by_route: dict[str, Block], blocks_by_route: dict[str, Block]) -> None:
-    for route, block in blocks_by_route.items():
-        sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
+def _sum_by_route(reports: Iterable[dict[str, Block]]) -> dict[str, Block]:
+    """Returns the sums of several counts, by route."""
+    sums_by_route: dict[str, Block] = {}
+    for blocks_by_route in reports:
+        for route, block in blocks_by_route.items():
+            sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
+    return sums_by_route
 
 
 def _is_informative(observation: SendObservation) -> bool:
--- a/packages/mastickeel_router/src/mastickeel_router/sequential.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sequential.py
@@ -28,6 +28,8 @@
 PRIOR_ANSWERS = 10.0
 MIN_SHARE_MARGIN = 1e-4
 """Smallest distance of an assumed share from 0 and 1."""
+MAX_NEW_SHARE = 0.95
+"""Largest share of an alternative: above it a single good answer would refute the alternative."""
 BISECTION_STEPS = 24
 FIRST_ALPHA_SHARE = 0.8
 """Part of alpha that goes to the first of the tests that split it."""
@@ -114,8 +116,15 @@
         """
         return sum(start.evidence() for start in self._starts)
 
-    def add(self, block: Block) -> None:
-        """Adds answers from about the same time; answers of one version wait for the other's."""
+    def add(self, block: Block, *, limit: float | None = None) -> None:
+        """Adds answers from about the same time; answers of one version wait for the other's.
+
+        Args:
+            block: The answers.
+            limit: Allowed excess for these answers; None for that of the test. It must not depend
+                on the answers themselves.
+        """
+        self._limit = self._limit if limit is None else limit
         waiting = self._waiting.plus(block)
         if not waiting.new or not waiting.old:
             self._waiting = _limit_old_answers(waiting)
@@ -134,7 +143,7 @@
             1 - MIN_SHARE_MARGIN, max(MIN_SHARE_MARGIN, self._old_bad_answers / self._old_answers)
         )
         for index, effect in enumerate(self._effects):
-            new_share = min(1 - MIN_SHARE_MARGIN, old_share + self._limit + effect)
+            new_share = min(MAX_NEW_SHARE, old_share + self._limit + effect)
             log = log_ratio(block, old_share, new_share, self._limit)
             for start in self._starts:
                 start.log_ratios[index] += log
--- a/tests/mastickeel_router/releases/test_decision.py
+++ b/tests/mastickeel_router/releases/test_decision.py
@@ -9,6 +9,7 @@
     COMPLETE_FROM,
     FIRST_SHARE,
     FULL_SHARE_FROM,
+    LAST_MOMENT,
     SECOND_SHARE,
     SECOND_SHARE_FROM,
     SUSPECT_EVIDENCE,
@@ -17,7 +18,7 @@
 )
 from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan, ReleaseState
 from mastickeel_router.releases.pace import SLOW_FACTOR, VERY_SLOW_FACTOR
-from mastickeel_router.releases.service import DUTY_TIMING
+from mastickeel_router.releases.service import DUTY_TIMING, LEAD_INTERVAL_MS
 from mastickeel_router.sequential import Block
 
 USUAL_DURATION_MS = 24_000
@@ -35,6 +36,7 @@
     answers: int = 100,
     bad: bool = False,
     suspect: bool = False,
+    held: bool = False,
 ) -> ReleasePlan:
     return advance_plan(
         plan,
@@ -43,17 +45,32 @@
         answers=answers,
         is_bad=bad,
         is_suspect=suspect,
+        is_held=held,
     )
 
 
+def lead_to(progress: float, start: float = 0.0) -> ReleasePlan:
+    """Returns the plan of a sound release whose duty has been held from a moment on."""
+    plan, at = PLAN, start
+    while at <= progress:
+        plan = plan_at(at, plan=plan)
+        at += LEAD_INTERVAL_MS / ORDER.duration_ms
+    return plan_at(progress, plan=plan)
+
+
 class AdvanceTest(unittest.TestCase):
     def test_share_grows_with_time(self) -> None:
-        self.assertEqual(plan_at(0.01).share, FIRST_SHARE)
-        self.assertEqual(plan_at(SECOND_SHARE_FROM).share, SECOND_SHARE)
-        self.assertEqual(plan_at(FULL_SHARE_FROM).share, 1.0)
+        self.assertEqual(lead_to(0.01).share, FIRST_SHARE)
+        self.assertEqual(lead_to(SECOND_SHARE_FROM).share, SECOND_SHARE)
+        self.assertEqual(lead_to(FULL_SHARE_FROM).share, 1.0)
+
+    def test_late_holder_widens_the_share_step_by_step_and_completes_in_time(self) -> None:
+        self.assertEqual(lead_to(FULL_SHARE_FROM, start=FULL_SHARE_FROM).share, SECOND_SHARE)
+        late = lead_to(0.99, start=COMPLETE_FROM)
+        self.assertIs(late.state, ReleaseState.COMPLETE)
 
     def test_good_release_completes_before_its_end(self) -> None:
-        self.assertIs(plan_at(COMPLETE_FROM).state, ReleaseState.COMPLETE)
+        self.assertIs(lead_to(COMPLETE_FROM).state, ReleaseState.COMPLETE)
         self.assertLess(COMPLETE_FROM, 1.0)
 
     def test_holder_that_is_lost_at_the_end_is_replaced_in_time(self) -> None:
@@ -72,17 +89,26 @@
         self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened, suspect=True).share, SECOND_SHARE)
         self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened).share, 1.0)
 
+    def test_release_with_much_evidence_is_not_completed_and_reverted_at_its_end(self) -> None:
+        # A target that was slow for two thirds of its answers was completed with evidence of 30.
+        wide = lead_to(FULL_SHARE_FROM)
+        held = plan_at(COMPLETE_FROM, plan=wide, suspect=True, held=True)
+        self.assertIs(held.state, ReleaseState.RUNNING)
+        self.assertIs(plan_at(LAST_MOMENT, plan=held, held=True).state, ReleaseState.REVERTED)
+        self.assertIs(plan_at(LAST_MOMENT, plan=held).state, ReleaseState.COMPLETE)
+
     def test_bad_release_is_reverted_at_any_moment(self) -> None:
         for part in (0.01, 0.5, 0.99):
             plan = plan_at(part, bad=True)
             self.assertEqual((plan.state, plan.share), (ReleaseState.REVERTED, 0.0))
 
     def test_final_states_do_not_change(self) -> None:
-        for end in (plan_at(0.99), plan_at(0.1, bad=True)):
+        for end in (lead_to(0.99), plan_at(0.1, bad=True)):
+            self.assertIsNot(end.state, ReleaseState.RUNNING)
             self.assertEqual(plan_at(0.2, plan=end, bad=True), end)
 
     def test_share_never_shrinks_while_the_release_runs(self) -> None:
-        self.assertEqual(plan_at(0.1, plan=plan_at(FULL_SHARE_FROM)).share, 1.0)
+        self.assertEqual(plan_at(0.1, plan=lead_to(FULL_SHARE_FROM)).share, 1.0)
 
 
 class VersionComparisonTest(unittest.TestCase):
@@ -153,17 +179,18 @@
         """
         rng = random.Random(seed)
         comparison = VersionComparison()
-        bad, slow = Block(), Block()
+        sums = [Block(), Block()]
         for answers in range(1, 121):
             for version, count in ((factor, 1), (1.0, 4)):
                 for _ in range(count):
                     ratio = version * rng.lognormvariate(0.1, 0.35)
                     if rng.random() < 0.25:
                         ratio *= rng.uniform(1.5, 6.0)
-                    pair = [(1, int(ratio > limit)) for limit in (VERY_SLOW_FACTOR, SLOW_FACTOR)]
-                    blocks = [Block(*one) if count == 1 else Block(0, 0, *one) for one in pair]
-                    bad, slow = bad.plus(blocks[0]), slow.plus(blocks[1])
-            comparison.add_totals({"a": bad}, {"a": slow})
+                    for index, limit in enumerate((SLOW_FACTOR, VERY_SLOW_FACTOR)):
+                        answer = (1, int(ratio > limit))
+                        block = Block(*answer) if count == 1 else Block(0, 0, *answer)
+                        sums[index] = sums[index].plus(block)
+            comparison.add_totals({}, {"a": sums[0]}, {"a": sums[1]})
             if comparison.is_bad:
                 return True, answers
         return False, answers
--- a/tests/mastickeel_router/releases/test_pace.py
+++ b/tests/mastickeel_router/releases/test_pace.py
@@ -87,7 +87,7 @@
 
     def test_open_send_is_slow_as_soon_as_its_pace_cannot_be_usual(self) -> None:
         paces = iter((None, 40.0, 40.0 * BUCKET_RATIO * SLOW_FACTOR))
-        send = OpenSend(ENDPOINT, ROUTE, "m", lambda: next(paces))
+        send = OpenSend(ENDPOINT, ROUTE, "m", 0, lambda: next(paces))
         self.record()
         self.assertEqual(
             [self.baseline.classify_open(send) for _ in range(3)],
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -404,7 +404,8 @@
             elapsed_ms = self.clock.now() - began_ms
             return elapsed_ms / max(elapsed_ms // pace_ms + 1, 6)
 
-        return OpenSend(OLD if version == "v1" else NEW, route, model, min_pace_ms)
+        endpoint = OLD if version == "v1" else NEW
+        return OpenSend(endpoint, route, model, began_ms, min_pace_ms)
 
     def record_end(self, instance: Instance, send: OpenSend) -> None:
         """Records a stream that has ended."""
@@ -412,7 +413,13 @@
         result = SendResult(SendOutcome.WHOLE)
         instance.releases.record_send(
             SendObservation(
-                send.endpoint, send.route, result, send.model, pace_ms, send.counted_pace
+                send.endpoint,
+                send.route,
+                result,
+                send.model,
+                pace_ms,
+                send.counted_pace,
+                send.started_ms,
             )
         )
 
