--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -25,6 +25,8 @@
     "endpoint_trusted": ("breaker", "endpoint"),
     "endpoint_limited": ("limit", "endpoint"),
     "endpoint_limit_lifted": ("limit", "endpoint"),
+    "endpoint_leaving": ("leaving", "endpoint"),
+    "endpoint_away": ("away", "endpoint"),
     "release_plan": ("release", "service"),
     "stopping": ("process", ""),
     "started": ("process", ""),
@@ -181,6 +183,8 @@
         return "The content had crashed endpoints before; see the crash_reported events."
     if code == "endpoints_limited":
         return f"Every endpoint's rate limit was used up: {_describe_limits(state)}."
+    if code == "endpoints_away":
+        return f"Every endpoint had turned requests away: {_describe_away(state)}."
     if sends:
         return f"{code}: {_describe_sends(sends, state)}"
     if code == "deadline":
@@ -254,11 +258,33 @@
     return "; ".join(limits) or "none logged here"
 
 
+def _describe_away(state: InstanceState) -> str:
+    """Lists the endpoints that have turned requests away for a time."""
+    away = [
+        f"{record['endpoint']} for {record['away_ms']} ms since {record['timestamp']}"
+        for record in state.newest_of_kind("away")
+    ]
+    return "; ".join(away) or "none logged here"
+
+
+def _list_leaving(service: str, state: InstanceState) -> str:
+    """Lists the endpoints of a service that are listed and have said that they leave."""
+    listed = {
+        record["endpoint"]
+        for record in state.newest_of_kind("endpoint")
+        if record["event"] != "endpoint_gone" and record.get("service") == service
+    }
+    leaving = state.newest_of_kind("leaving")
+    return ", ".join(record["endpoint"] for record in leaving if record["endpoint"] in listed)
+
+
 def _explain_unavailable(end: Record, state: InstanceState) -> str:
     """Explains why no endpoint was available for a request."""
     process, store = state.newest("process"), state.newest("store")
     if process and process["event"] == "stopping":
         return f"The instance had been stopping since {process['timestamp']}."
+    if leaving := _list_leaving(str(end.get("service")), state):
+        return f"No other endpoint was known; these had said that they leave: {leaving}."
     if not end.get("version"):
         return "The instance had not loaded a configuration yet."
     removed = [
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -386,6 +386,16 @@
         metrics.add_gauge(
             "endpoints_limited", "Endpoints that name a rate limit", self._count_limited
         )
+        metrics.add_gauge(
+            "endpoints_leaving",
+            "Endpoints that have said that they leave",
+            lambda: sum(map(self.availability.is_leaving, self.registry.all())),
+        )
+        metrics.add_gauge(
+            "endpoints_away",
+            "Endpoints that want no requests from this instance for a time",
+            lambda: sum(map(bool, map(self.availability.wait_ms, self.registry.all()))),
+        )
         metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
         metrics.add_gauge(
             "routes_version",
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -66,6 +66,20 @@
         self.assertIn("e1 1.6 a second since 2026-09-20T22:07:01", cause)
         self.assertNotIn("e2", cause)
 
+    def test_endpoints_that_turned_requests_away(self) -> None:
+        cause = self.cause(
+            line(1, "endpoint_away", endpoint="e1", away_ms=2_000),
+            request_end(2, "refused", code="endpoints_away"),
+        )
+        self.assertIn("e1 for 2000 ms since 2026-09-20T22:07:01", cause)
+
+    def test_listed_endpoints_that_had_said_that_they_leave(self) -> None:
+        found = [line(1, "endpoint_found", endpoint=f"e{n}", service="s") for n in range(3)]
+        leaving = [line(2, "endpoint_leaving", endpoint=f"e{n}") for n in range(2)]
+        gone = line(3, "endpoint_gone", endpoint="e0", service="s")
+        end = request_end(4, "refused", code="unavailable", service="s")
+        self.assertIn("they leave: e1.", self.cause(*found, *leaving, gone, end))
+
     def test_each_send_is_listed_with_the_newest_event_of_its_endpoint(self) -> None:
         cause = self.cause(
             line(1, "endpoint_found", endpoint="e1", service="s"),
