Soak: endpoints that leave and turn requests away

The soak of processes before endpoints with limits plays both, alone and with kills, stops, freezes, outages and older copies of the store, and checks both rules from what the endpoints saw.

--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -1,4 +1,4 @@
-"""Soak of gateways as processes before endpoints that name rate limits, under random faults.
+"""Soak of gateways as processes before endpoints that limit, leave and turn away, under faults.
 
 Run by hand with more seeds and instances:
 ``python -m tests.mastickeel_platform.limit_soak --first 1 --seeds 50 --instances 9``.
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import random
 import signal
@@ -17,6 +18,7 @@
 import tempfile
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -48,6 +50,12 @@
 CONTACT_MS = 3_000
 """The platform's bounds: what an endpoint may get in a window above its limit, and the time after
 the first answer with a limit, and after an instance's fault, from which on requests count."""
+DRAIN_MS = 2_000
+"""Time after an endpoint has said that it leaves, from which its sender may send nothing."""
+AWAY_FROM_MS = 500
+MAX_SENT_WHILE_AWAY = 2
+"""Time after a refusal with a time to stay away, and the most requests between it and the end."""
+AWAY_S = (0.6, 1.5, 3.0, 6.0)
 START_TIMEOUT_MS = 30_000
 REQUEST_TIMEOUT_MS = 8_000
 REQUEST_INTERVAL_MS = 150
@@ -64,6 +72,20 @@
     at_ms: int
     sender: str
     request_id: str
+    born: int
+    """Start of the endpoint's process."""
+    ran: bool
+
+
+@dataclass(frozen=True)
+class Statement:
+    """An answer that says that the endpoint leaves, or that it wants nothing for a time."""
+
+    at_ms: int
+    sender: str
+    born: int
+    away_ms: float | None = None
+    """Time to stay away; None when the endpoint leaves."""
 
 
 @dataclass
@@ -72,6 +94,13 @@
 
     id: str
     server: RawServer
+    born: int = 1
+    is_leaving: bool = False
+    is_draining: bool = False
+    """Whether its entry says that it leaves."""
+    away_s: float | None = None
+    """Time to stay away in its refusals; None while it serves."""
+    statements: list[Statement] = field(default_factory=list)
     limit: float | None = None
     named_since_ms: int | None = None
     """Time of the first answer with the present limit."""
@@ -160,7 +189,12 @@
         endpoint = LimitedEndpoint(f"i-{number}", RawServer(self._respond))
         self._endpoints.append(endpoint)
         await endpoint.server.start()
-        self._store.put(f"servers/{endpoint.id}", entry(endpoint.server.port))
+        self._write_entry(endpoint)
+
+    def _write_entry(self, endpoint: LimitedEndpoint) -> None:
+        state = "draining" if endpoint.is_draining else "ready"
+        value = entry(endpoint.server.port, born=endpoint.born, state=state)
+        self._store.put(f"servers/{endpoint.id}", value)
 
     async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
         endpoint = next(
@@ -168,14 +202,23 @@
         )
         now = self._clock.now()
         sender = self._ids_by_sender.get(request.id, "")
-        endpoint.arrivals.append(Arrival(now, sender, request.id))
-        await self._clock.sleep(self._rng.uniform(*WORK_MS))
-        extra = ""
+        away_s, born = endpoint.away_s, endpoint.born
+        endpoint.arrivals.append(Arrival(now, sender, request.id, born, away_s is None))
+        fields = []
+        if away_s is not None:
+            fields += ["Not-Executed: 1", f"Retry-After: {away_s}"]
+            endpoint.statements.append(Statement(now, sender, born, away_s * 1_000))
+        else:
+            await self._clock.sleep(self._rng.uniform(*WORK_MS))
+        if endpoint.is_leaving and endpoint.born == born:
+            fields.append("Server-Leaving: 1")
+            endpoint.statements.append(Statement(self._clock.now(), sender, born))
         if endpoint.limit is not None:
-            extra = f"Server-Limit: {endpoint.limit}"
+            fields.append(f"Server-Limit: {endpoint.limit}")
             if endpoint.named_since_ms is None:
                 endpoint.named_since_ms = self._clock.now()
-        writer.write(answer_bytes(request, extra=extra))
+        status = "200 OK" if away_s is None else "503 Busy"
+        writer.write(answer_bytes(request, status=status, extra="\r\n".join(fields)))
 
     async def _start(self, instance: Instance, folder: Path) -> None:
         """Starts a gateway process and waits until it listens."""
@@ -274,6 +317,8 @@
             "store": self._lose_store,
             "entry": self._lose_entry,
             "older": self._restore_older_copy,
+            "leave": self._replace_endpoint,
+            "away": self._turn_away,
         }
         for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
             endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
@@ -288,6 +333,29 @@
         endpoint = self._rng.choice(self._endpoints)
         endpoint.set_limit(self._rng.choice((None, *RATES)), self._clock.now())
 
+    async def _replace_endpoint(self) -> None:
+        """Lets an endpoint leave, with or without a word in its entry, and start again."""
+        endpoint = self._rng.choice(self._endpoints)
+        if endpoint.is_leaving:
+            return
+        endpoint.is_leaving = True
+        await self._clock.sleep(self._rng.uniform(0, 2_000))
+        if self._rng.random() < 0.5:
+            endpoint.is_draining = True
+            self._write_entry(endpoint)
+        await self._clock.sleep(self._rng.uniform(1_000, 5_000))
+        endpoint.set_limit(None, self._clock.now())
+        endpoint.born += 1
+        endpoint.is_leaving = endpoint.is_draining = False
+        self._write_entry(endpoint)
+
+    async def _turn_away(self) -> None:
+        """Lets an endpoint turn all requests away for some time."""
+        endpoint = self._rng.choice(self._endpoints)
+        endpoint.away_s = self._rng.choice(AWAY_S)
+        await self._clock.sleep(self._rng.uniform(500, 3_000))
+        endpoint.away_s = None
+
     async def _restart(self, signal_number: signal.Signals, folder: Path) -> None:
         instance = self._rng.choice(self._instances)
         process = instance.process
@@ -330,23 +398,22 @@
         await self._clock.sleep(self._rng.uniform(0, 800))
         self._store.restore(copy)
         self._store.refusal_status = 0
-        writes = [("op/config", CONFIGURATION)] + [
-            (f"servers/{endpoint.id}", entry(endpoint.server.port)) for endpoint in self._endpoints
-        ]
+        writes = [lambda: self._store.put("op/config", CONFIGURATION)]
+        writes += [partial(self._write_entry, endpoint) for endpoint in self._endpoints]
         self._rng.shuffle(writes)
-        for key, value in writes:
+        for write in writes:
             await self._clock.sleep(self._rng.uniform(0, 500))
-            self._store.put(key, value)
+            write()
 
     async def _lose_entry(self) -> None:
         """Lets an endpoint's entry expire and come back while its process goes on."""
-        key = f"servers/{self._rng.choice(self._endpoints).id}"
-        value = self._store.read(key)
-        if value is None:
+        endpoint = self._rng.choice(self._endpoints)
+        key = f"servers/{endpoint.id}"
+        if self._store.read(key) is None:
             return
         self._store.delete(key)
         await self._clock.sleep(self._rng.uniform(0, 1_500))
-        self._store.put(key, value)
+        self._write_entry(endpoint)
 
     async def _stop_all(self) -> None:
         for instance in self._instances:
@@ -361,11 +428,34 @@
 
     def _check(self) -> None:
         """Checks the limits, and that what was refused has not run."""
-        ran_ids = {arrival.request_id for one in self._endpoints for arrival in one.arrivals}
+        ran_ids = {
+            arrival.request_id for one in self._endpoints for arrival in one.arrivals if arrival.ran
+        }
         self._violations += [f"{one}: refused but run" for one in ran_ids & self._refused_ids]
         for endpoint in self._endpoints:
             for per_second, begin_ms, end_ms in endpoint.periods:
                 self._check_period(endpoint, per_second, begin_ms + CONTACT_MS, end_ms)
+            for statement in endpoint.statements:
+                self._check_statement(endpoint, statement)
+
+    def _check_statement(self, endpoint: LimitedEndpoint, statement: Statement) -> None:
+        """Checks what the receiver of a statement sent after it; a fault since then excuses it."""
+        begin_ms, end_ms = statement.at_ms + DRAIN_MS, math.inf
+        allowed = 0
+        if statement.away_ms is not None:
+            begin_ms, end_ms = statement.at_ms + AWAY_FROM_MS, statement.at_ms + statement.away_ms
+            allowed = MAX_SENT_WHILE_AWAY
+        instance = next(one for one in self._instances if one.id == statement.sender)
+        faults_ms = [end for _, end in instance.faults_ms if end >= statement.at_ms]
+        end_ms = min([end_ms, *faults_ms])
+        sent = [
+            arrival
+            for arrival in endpoint.arrivals
+            if (arrival.sender, arrival.born) == (statement.sender, statement.born)
+            and begin_ms < arrival.at_ms <= end_ms
+        ]
+        if len(sent) > allowed:
+            self._violations.append(f"{endpoint.id}: {len(sent)} requests after {statement}")
 
     def _check_period(
         self, endpoint: LimitedEndpoint, per_second: float, begin_ms: int, end_ms: int
