Bound the memory of all answers under way

Each answer had a bound and their sum none: a few endpoints whose signed bodies do not end could fill an instance (16 MB each, 128 MB machines). The answers that are collected, and events that are not complete, hold at most a quarter of the machine's memory now, which the settings name; at the bound the largest is given up, with a log line and a counter, and its send counts as broken.

What 60 answers held without the bound was not measured.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -333,6 +333,11 @@
             raise AnswerTooLargeError(f"The body is over {self._limit_bytes} bytes.")
         self._parts.append(chunk)
 
+    @property
+    def size(self) -> int:
+        """Size of the collected body in bytes."""
+        return self._size
+
     def join(self) -> bytes:
         """Returns the collected body."""
         return b"".join(self._parts)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -45,6 +45,7 @@
 from mastickeel_router.relay import CallerListener, Dispatcher
 from mastickeel_router.relay.budget import RetryBudget
 from mastickeel_router.relay.context import Context
+from mastickeel_router.relay.memory import AnswerMemory
 from mastickeel_router.releases import ReleaseOrder, Releases
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
 
@@ -136,6 +137,8 @@
         """Rate limits that endpoints have named."""
         self.availability = EndpointAvailability(clock, self.rng)
         """What endpoints have said about taking further requests."""
+        self.answer_memory = AnswerMemory(settings.memory.answer_bytes)
+        """Memory that the answers under way hold on this instance."""
         self.stopping = False
         """Whether a drain has begun."""
         self.callers_port = 0
@@ -361,6 +364,7 @@
             limits=self.limits,
             availability=self.availability,
             permits=self.permits,
+            answer_memory=self.answer_memory,
             tasks=self._tasks,
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
@@ -386,6 +390,16 @@
         metrics.add_gauge(
             "endpoints_limited", "Endpoints that name a rate limit", self._count_limited
         )
+        metrics.add_gauge(
+            "answer_bytes",
+            "Size of the answers under way that this instance holds",
+            lambda: self.answer_memory.held_bytes,
+        )
+        metrics.add_gauge(
+            "answers_evicted",
+            "Answers given up since the start because they filled the memory for answers",
+            lambda: self.answer_memory.evictions,
+        )
         metrics.add_gauge(
             "endpoints_leaving",
             "Endpoints that have said that they leave",
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -15,6 +15,11 @@
     from pathlib import Path
 
 
+BYTES_PER_MB = 1_000_000
+ANSWER_SHARE = 0.25
+"""Part of the memory for answers under way; the process and the callers' requests need the rest."""
+
+
 @dataclass(frozen=True)
 class ListenSettings:
     """Settings of a listener."""
@@ -61,6 +66,19 @@
     """Maximum time between two requests of one session."""
 
 
+@dataclass(frozen=True)
+class MemorySettings:
+    """Memory of the instance's machine."""
+
+    limit_mb: int = 128
+    """Memory that the process may use."""
+
+    @property
+    def answer_bytes(self) -> int:
+        """Maximum size of all answers under way together."""
+        return round(self.limit_mb * BYTES_PER_MB * ANSWER_SHARE)
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """Settings of one gateway."""
@@ -77,6 +95,7 @@
     stop: StopSettings = field(default_factory=StopSettings)
     sessions: SessionSettings = field(default_factory=SessionSettings)
     logs: LogSettings = field(default_factory=LogSettings)
+    memory: MemorySettings = field(default_factory=MemorySettings)
 
 
 def load(path: Path) -> GatewaySettings:
@@ -107,6 +126,7 @@
         ("repeats.window_ms", settings.repeats.window_ms),
         ("stop.grace_ms", settings.stop.grace_ms),
         ("sessions.gap_ms", settings.sessions.gap_ms),
+        ("memory.limit_mb", settings.memory.limit_mb),
     ]
     faults = [
         f"settings.{key} is {value}; write a number above 0" for key, value in numbers if value <= 0
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -20,6 +20,7 @@
     from mastickeel_router.quarantine.reports import CrashReports
     from mastickeel_router.ratelimits import EndpointLimits, SendPermits
     from mastickeel_router.relay.budget import RetryBudget
+    from mastickeel_router.relay.memory import AnswerMemory
     from mastickeel_router.relay.policy import SendResult
     from mastickeel_router.relay.types import CallerRequest, Dialect
     from mastickeel_router.releases.sessions import SessionVersions
@@ -120,6 +121,8 @@
     """What endpoints have said about taking further requests."""
     permits: SendPermits
     """Permits to send requests to endpoints with a rate limit."""
+    answer_memory: AnswerMemory
+    """Memory that the answers under way hold on this instance."""
     tasks: TaskGroup
     """Task group of the background work beside requests."""
     select_endpoints: EndpointSelector
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -38,7 +38,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.context import Context
@@ -105,6 +105,7 @@
         self._sent_ms = 0
         self._events_before = 0
         self._first_event_at_ms: int | None = None
+        self._release_answer: Callable[[], None] = _release_nothing
         limit = route.timeout_ms
         self._limit_detail = f"the route allows {limit} ms."
         if request.timeout_ms is not None and request.timeout_ms - ANSWER_MARGIN_MS < limit:
@@ -150,6 +151,8 @@
         except (StreamClosedError, asyncio.CancelledError):
             self._log.log_end(REQUEST_LEFT)
             raise
+        finally:
+            self._release_answer()
 
     async def _send_until_done(self) -> None:
         """Sends the request until an answer can be delivered or no retry is left."""
@@ -261,16 +264,19 @@
         self._events_before = progress.last_event or 0
         self._first_event_at_ms = None
         http_request = context.dialect.write_send(self._build_send(endpoint))
+        self._release_answer()
         answer = AnswerCollector(
             self._request,
             self._route,
             clock=context.clock,
+            memory=context.answer_memory,
             dialect=context.dialect,
             responder=self._responder,
             progress=progress,
             accept_head=self._accept_answer,
             observe_head=lambda head: self._observe_head(endpoint, head, start_ms),
         )
+        self._release_answer = answer.release
         demand = self._cascade.demand
         self._log.predicted_wait_ms = context.loads.predict_first_event_ms(
             [endpoint], demand, self._cascade.model
@@ -471,6 +477,10 @@
         await send_error(self._context.dialect, error, self._request.id, self._responder)
 
 
+def _release_nothing() -> None:
+    """Stands for the memory of an answer before the first send."""
+
+
 def _choose_service(route: Route, rng: random.Random) -> str:
     """Returns one of the route's services, chosen at random by weight."""
     if len(route.splits) == 1:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -26,6 +26,7 @@
     from mastickeel.httpmessages import ConnectionEnd, HttpHead, HttpRequest
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.listener import Responder
+    from mastickeel_router.relay.memory import AnswerMemory, MemoryShare
     from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect, Progress
     from mastickeel_router.routes import Route
 
@@ -109,7 +110,7 @@
     if not may_send():
         connection.close()
         return SendResult(SendOutcome.WITHHELD, reason="the endpoint wants no request now")
-    answer.record_start()
+    answer.record_start(connection.close)
     try:
         await connection.exchange(
             http_request, on_head=answer.on_head, on_data=answer.on_data, timeouts=timeouts
@@ -122,6 +123,7 @@
     except (ExchangeBrokenError, StreamGapError, StreamStalledError) as error:
         result = SendResult(SendOutcome.BROKEN, answer.head, reason=f"{error.code}: {error.detail}")
     finally:
+        answer.release_events()
         end = answer.describe_end(connection.end)
         connection.close()
     return replace(result, end=end)
@@ -145,6 +147,7 @@
         route: Route,
         *,
         clock: Clock,
+        memory: AnswerMemory,
         dialect: Dialect,
         responder: Responder,
         progress: Progress,
@@ -157,6 +160,7 @@
             request: The caller's request.
             route: The request's route.
             clock: Times the events of a stream.
+            memory: Bounds what all answers hold together.
             dialect: Parses the answer's head.
             responder: Writes a stream's events to the caller.
             progress: Progress of the request; updated as the answer arrives.
@@ -170,6 +174,8 @@
         self._request = request
         self._route = route
         self._clock = clock
+        self._memory = memory
+        self._share: MemoryShare | None = None
         self._dialect = dialect
         self._responder = responder
         self._progress = progress
@@ -193,9 +199,24 @@
             and self.head.status == 200
         )
 
-    def record_start(self) -> None:
-        """Records that the request is being sent and may run from now on."""
+    def record_start(self, end_exchange: Callable[[], None]) -> None:
+        """Records that the request is being sent and may run from now on.
+
+        Args:
+            end_exchange: Ends the exchange when the answer's memory is needed for others.
+        """
         self._progress.may_have_run = True
+        self._share = self._memory.open_share(end_exchange)
+
+    def release(self) -> None:
+        """Returns the memory of the answer."""
+        if self._share is not None:
+            self._share.close()
+
+    def release_events(self) -> None:
+        """Returns the memory of an event that was not complete."""
+        if self._share is not None:
+            self._share.shrink(self._body.size)
 
     def on_head(self, http_head: HttpHead) -> None:
         """Handles status and headers.
@@ -235,10 +256,18 @@
             if events:
                 self._event_at_ms = now
             if self._is_forwarded:
+                self._hold(self._splitter.pending_bytes)
                 return self._forward(events) if events else None
         self._body.append(chunk)
+        self._hold(self._body.size + self._splitter.pending_bytes)
         return None
 
+    def _hold(self, size: int) -> None:
+        """Records the memory that the answer holds."""
+        assert self._share is not None
+        if size != self._share.size:
+            self._share.resize(size)
+
     async def finish(self) -> SendResult:
         """Completes an answer whose framing is complete and returns the result of the send.
 
--- a/tests/mastickeel_platform/test_endless_answers.py
+++ b/tests/mastickeel_platform/test_endless_answers.py
@@ -94,6 +94,32 @@
                     await self.serve("/look/a", case)
                     self.assertLess(self.written, SOCKET_BUFFER_BYTES)
 
+    async def test_many_endless_answers_at_once_hold_no_more_than_their_memory(self) -> None:
+        limit_bytes, requests = 2_000_000, 60
+        await self.start_gateway(*[self.respond] * 2)
+        memory = self.gateway.answer_memory
+        most_bytes = 0
+
+        async def watch() -> None:
+            nonlocal most_bytes
+            while True:
+                most_bytes = max(most_bytes, memory.held_bytes)
+                await asyncio.sleep(0)
+
+        watching = asyncio.ensure_future(watch())
+        endless = (lambda request: head(request, "200 OK", SIGNED), b"x")
+        with patch.object(memory, "_limit_bytes", limit_bytes):
+            self.cases = {f"r{number}": endless for number in range(requests)}
+            sent = (self.send_request("/once/a", f"r{number}") for number in range(requests))
+            large = asyncio.gather(*sent)
+            self.assertEqual((await self.send_request("/look/a", "small")).status, 200)
+            replies = await asyncio.wait_for(large, 20)
+        watching.cancel()
+        self.assertEqual({reply.status for reply in replies}, {502})
+        self.assertLessEqual(most_bytes, limit_bytes + BLOCK_BYTES)
+        self.assertGreaterEqual(memory.evictions, requests)
+        self.assertEqual(memory.held_bytes, 0)
+
     async def test_event_that_arrives_too_slowly_ends_the_send(self) -> None:
         async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
             if len(self.received_requests()) > 1:
--- a/tests/mastickeel_platform/test_settings_template.py
+++ b/tests/mastickeel_platform/test_settings_template.py
@@ -20,7 +20,7 @@
     "ip": "10.1.0.40",
     "port_range": [7340, 7355],
     "listen": {"frontend": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
-    "limits": {"link_mbps": 10.0},
+    "limits": {"link_mbps": 10.0, "memory_mb": 200},
     "platform": {"address": "10.200.1.7:8223"},
     "bounds": {
         "grace_s": 8,
