--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -369,7 +369,7 @@
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
             store_age_ms=self._store.age_ms,
-            open_sends=self.releases.open_sends,
+            open_sends=self.releases.evidence.open_sends,
             on_send=self._record_send,
             on_send_abandoned=self.releases.record_abandoned,
             on_request_end=self.metrics.record_request,
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -4,8 +4,7 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,20 +16,18 @@
 from mastickeel.logs import log
 from mastickeel_router.discovery.feeds import WatchHandler
 from mastickeel_router.duties import Duty, DutyTiming
-from mastickeel_router.relay.policy import SendOutcome
 from mastickeel_router.releases.decision import VersionComparison, advance_plan
+from mastickeel_router.releases.evidence import ReleaseEvidence, sum_reports
 from mastickeel_router.releases.model import (
     EvidenceReport,
     ReleaseOrder,
     ReleasePlan,
     ReleaseState,
 )
-from mastickeel_router.releases.pace import Pace, PaceBaseline, has_pace, is_failure
 from mastickeel_router.releases.sessions import SessionVersions
-from mastickeel_router.sequential import Block
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterable, Sequence
+    from collections.abc import Callable, Coroutine, Sequence
     from typing import Any
 
     from mastickeel._kvtypes import KeyValue
@@ -46,9 +43,6 @@
 """Interval at which the holder of the duty evaluates the evidence."""
 REPORT_INTERVAL_MS = 700
 """Interval at which an instance reports its evidence to its peers if the evidence has changed."""
-MAX_WAITING_ANSWERS = 512
-MAX_WAIT_MS = 10_000
-"""Time for which an answer waits until the usual pace is known; after it, it tells nothing."""
 HASH_SPAN = float(1 << 64)
 SESSION_MOVE_FROM = 0.55
 """Fraction of a release's duration before which no running session moves to the target: sessions
@@ -93,14 +87,6 @@
 )
 
 
-@dataclass(frozen=True)
-class _WaitingAnswer:
-    """An answer that is counted once the usual pace is known."""
-
-    observation: SendObservation
-    since_ms: int
-
-
 class Releases:
     """State of all releases on this instance."""
 
@@ -137,20 +123,13 @@
         self._plans_by_service: dict[str, ReleasePlan] = {}
         self._stored_plans_by_service: dict[str, ReleasePlan] = {}
         self._list_is_older = False
-        self._counts_by_service: dict[str, dict[str, Block]] = {}
-        self._counts_by_pace: dict[Pace, dict[str, dict[str, Block]]] = {
-            Pace.SLOW: {},
-            Pace.VERY_SLOW: {},
-        }
         self._reported_by_service: dict[str, EvidenceReport] = {}
         self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
         self._evidence_by_instance: dict[tuple[str, str], EvidenceReport] = {}
         self.sessions = SessionVersions(clock, session_gap_ms)
         """Latest version of each session."""
-        self.open_sends: set[OpenSend] = set()
-        """Sends of this instance whose answers have not ended."""
-        self._pace_baseline = PaceBaseline()
-        self._waiting: deque[_WaitingAnswer] = deque(maxlen=MAX_WAITING_ANSWERS)
+        self.evidence = ReleaseEvidence(clock)
+        """Answers of this instance for and against the targets of running releases."""
         self._plans_read = False
         self._leaving = False
         self.duties_prefix = f"{prefix}/duties/"
@@ -200,13 +179,7 @@
         self._order_received_ms_by_service[order.service] = self._clock.now()
         if self._plans_read:
             self._ordered_while_running.add(order.service)
-        self._counts_by_service[order.service] = {}
-        for counts_by_service in self._counts_by_pace.values():
-            counts_by_service[order.service] = {}
-        self._waiting = deque(
-            (one for one in self._waiting if one.observation.endpoint.service != order.service),
-            maxlen=MAX_WAITING_ANSWERS,
-        )
+        self.evidence.begin(order)
         log(
             ORDER_APPLIED,
             service=order.service,
@@ -296,80 +269,15 @@
         service = observation.endpoint.service
         order = self._orders_by_service.get(service)
         is_target = order is not None and observation.endpoint.version == order.target
-        if service in self._running() and _is_informative(observation):
-            failed = is_failure(observation.result)
-            self._add_count(self._counts_by_service, observation, failed)
-            counts_pace = not failed and has_pace(observation) and self._is_of_release(observation)
-            if counts_pace and not self._count_pace(observation):
-                self._waiting.append(_WaitingAnswer(observation, self._clock.now()))
+        if service in self._running():
+            self.evidence.record_answer(observation)
         if not is_target:
-            self._pace_baseline.record(observation)
+            self.evidence.record_usual(observation)
 
     def record_abandoned(self, send: OpenSend) -> None:
         """Counts a send that ended without an answer if it was slow until then."""
-        if send.endpoint.service in self._running() and self._is_of_release(send):
-            self._count_open_send(send)
-
-    def _is_of_release(self, send: SendObservation | OpenSend) -> bool:
-        """Returns whether a send started after the order.
-
-        Of the sends before it only the slow ones are still open, whatever their version.
-        """
-        return send.started_ms >= self._order_received_ms_by_service[send.endpoint.service]
-
-    def _count_pace(self, answer: SendObservation) -> bool:
-        """Counts the pace of an answer; returns False if it has to wait for the usual pace."""
-        pace = self._pace_baseline.classify(answer)
-        if pace is None:
-            return False
-        for limit, counts_by_service in self._counts_by_pace.items():
-            if answer.counted_pace < limit:
-                self._add_count(counts_by_service, answer, pace >= limit)
-        return True
-
-    def _count_open_send(self, send: OpenSend) -> None:
-        """Counts an open send as slow or very slow, each once, when it is certain to be."""
-        pace = self._pace_baseline.classify_open(send)
-        for limit, counts_by_service in self._counts_by_pace.items():
-            if send.counted_pace < limit <= pace:
-                self._add_count(counts_by_service, send, True)
-        send.counted_pace = max(send.counted_pace, pace)
-
-    def _add_count(
-        self,
-        counts_by_service: dict[str, dict[str, Block]],
-        answer: SendObservation | OpenSend,
-        is_bad: bool,
-    ) -> None:
-        """Adds an answer to the counts of its endpoint's version."""
-        service, route = answer.endpoint.service, answer.route.name
-        is_target = answer.endpoint.version == self._orders_by_service[service].target
-        block = Block(1, int(is_bad)) if is_target else Block(0, 0, 1, int(is_bad))
-        counts = counts_by_service.setdefault(service, {})
-        counts[route] = counts.get(route, Block()).plus(block)
-
-    def _judge_answers(self, order: ReleaseOrder) -> None:
-        """Updates the usual paces; counts slow open sends and the answers that waited for them."""
-        service = order.service
-        reports = [
-            evidence.paces_by_route
-            for (of_service, instance_id), evidence in self._evidence_by_instance.items()
-            if of_service == service
-            and instance_id != self._instance_id
-            and evidence.order_revision == order.revision
-        ]
-        reports.append(self._pace_baseline.summarize(service))
-        self._pace_baseline.update_usual(service, reports)
-        for send in self.open_sends:
-            if send.endpoint.service == service and self._is_of_release(send):
-                self._count_open_send(send)
-        oldest_ms = self._clock.now() - MAX_WAIT_MS
-        waiting, self._waiting = self._waiting, deque(maxlen=MAX_WAITING_ANSWERS)
-        for answer in waiting:
-            is_other = answer.observation.endpoint.service != service
-            counted = not is_other and self._count_pace(answer.observation)
-            if not counted and answer.since_ms > oldest_ms:
-                self._waiting.append(answer)
+        if send.endpoint.service in self._running():
+            self.evidence.count_open_send(send)
 
     def record_evidence(self, instance_id: str, evidence: EvidenceReport) -> None:
         """Stores an instance's evidence; every instance keeps it because any may lead next."""
@@ -435,7 +343,7 @@
         was_bad = comparison.is_bad
         plan = self._plan(order.service)
         share = plan.share if plan is not None else 0.0
-        comparison.add_totals(*self._sum_evidence(order), share=share)
+        comparison.add_totals(*sum_reports(self._list_reports(order)), share=share)
         if comparison.is_bad and not was_bad:
             log(TARGET_AVOIDED, service=order.service, target=order.target)
         return comparison
@@ -523,16 +431,10 @@
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
             for service in self._running():
-                self._judge_answers(self._orders_by_service[service])
-                self._evaluate(self._orders_by_service[service])
-                evidence = EvidenceReport(
-                    service,
-                    self._orders_by_service[service].revision,
-                    dict(self._counts_by_service.get(service, {})),
-                    dict(self._counts_by_pace[Pace.SLOW].get(service, {})),
-                    dict(self._counts_by_pace[Pace.VERY_SLOW].get(service, {})),
-                    self._pace_baseline.summarize(service),
-                )
+                order = self._orders_by_service[service]
+                self.evidence.judge(service, self._list_reports(order, of_peers=True))
+                self._evaluate(order)
+                evidence = self.evidence.report(order)
                 if evidence == self._reported_by_service.get(service):
                     continue
                 self._reported_by_service[service] = evidence
@@ -581,20 +483,15 @@
             return
         await self._write_plan(key, order, next_plan)
 
-    def _sum_evidence(
-        self, order: ReleaseOrder
-    ) -> tuple[dict[str, Block], dict[str, Block], dict[str, Block]]:
-        """Returns the failures, slow and very slow answers of all instances, by route."""
-        reports = [
-            evidence
-            for evidence in self._evidence_by_instance.values()
-            if evidence.service == order.service and evidence.order_revision == order.revision
+    def _list_reports(self, order: ReleaseOrder, *, of_peers: bool = False) -> list[EvidenceReport]:
+        """Returns the newest reports of all instances, or of the others, on an order."""
+        return [
+            report
+            for (service, instance_id), report in self._evidence_by_instance.items()
+            if service == order.service
+            and report.order_revision == order.revision
+            and not (of_peers and instance_id == self._instance_id)
         ]
-        return (
-            _sum_by_route(evidence.blocks_by_route for evidence in reports),
-            _sum_by_route(evidence.slow_by_route for evidence in reports),
-            _sum_by_route(evidence.very_slow_by_route for evidence in reports),
-        )
 
     async def _read_plan(self, key: str, order: ReleaseOrder) -> ReleasePlan:
         """Returns the plan from the store, or a new one when the order has none."""
@@ -622,17 +519,3 @@
             )
             self._plans_by_service[plan.service] = plan
             self._stored_plans_by_service[plan.service] = plan
-
-
-def _sum_by_route(reports: Iterable[dict[str, Block]]) -> dict[str, Block]:
-    """Returns the sums of several counts, by route."""
-    sums_by_route: dict[str, Block] = {}
-    for blocks_by_route in reports:
-        for route, block in blocks_by_route.items():
-            sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
-    return sums_by_route
-
-
-def _is_informative(observation: SendObservation) -> bool:
-    """Returns whether a send is evidence on its version; refusals of a full endpoint are not."""
-    return observation.result.outcome in (SendOutcome.WHOLE, SendOutcome.BROKEN)
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -382,14 +382,14 @@
             now = self.clock.now()
             while ends and ends[0][0] <= now:
                 _, instance, send = ends.pop(0)
-                instance.releases.open_sends.discard(send)
+                instance.releases.evidence.open_sends.discard(send)
                 self.record_end(instance, send)
             if rng.random() < self.REQUESTS_PER_SECOND / 20:
                 instance = rng.choice(self.instances)
                 version = instance.choose(f"{now}") or "v1"
                 requests[version] += 1
                 send = self.start_send(version, *rng.choice(self.KINDS))
-                instance.releases.open_sends.add(send)
+                instance.releases.evidence.open_sends.add(send)
                 lasts_ms = self.PACE_MS_BY_VERSION[version] * events
                 ends.append((now + round(lasts_ms), instance, send))
                 ends.sort(key=lambda end: end[0])
