--- a/tests/mastickeel_router/releases/test_pace.py
+++ b/tests/mastickeel_router/releases/test_pace.py
@@ -25,6 +25,8 @@
 )
 from mastickeel_router.routes import Route, RouteKind, Split
 
+PRECISION = BUCKET_RATIO**0.5
+"""Most by which the usual pace differs from its samples, as these are rounded to buckets."""
 ENDPOINT = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1")
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 1_000, 200)
 
@@ -61,9 +63,11 @@
         self.record()
         for pace, expected in (
             (40.0, Pace.USUAL),
-            (40.0 / BUCKET_RATIO * SLOW_FACTOR, Pace.USUAL),
-            (40.0 * BUCKET_RATIO * SLOW_FACTOR, Pace.SLOW),
-            (40.0 * BUCKET_RATIO * VERY_SLOW_FACTOR, Pace.VERY_SLOW),
+            (80.0, Pace.USUAL),
+            (40.0 / PRECISION * SLOW_FACTOR, Pace.USUAL),
+            (40.0 * PRECISION * SLOW_FACTOR, Pace.SLOW),
+            (40.0 / PRECISION * VERY_SLOW_FACTOR, Pace.SLOW),
+            (40.0 * PRECISION * VERY_SLOW_FACTOR, Pace.VERY_SLOW),
             (None, Pace.USUAL),
         ):
             self.assertIs(self.baseline.classify(observation(pace=pace)), expected)
