--- a/packages/mastickeel_router/src/mastickeel_router/relay/crashes.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/crashes.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from mastickeel.events import define_event
 from mastickeel.httpmessages import ConnectionFailedError, Timeouts
+from mastickeel.logs import log
+from mastickeel_router.quarantine.fingerprints import format_fingerprint
 from mastickeel_router.quarantine.reports import compute_relay_fingerprint
 from mastickeel_router.relay.policy import SendOutcome
 
@@ -18,6 +21,13 @@
 """Connection timeout of a probe: allows one packet retransmission, and is a third of the time
 within which all instances must know of a crash."""
 
+SEND_CRASHED = define_event(
+    2385,
+    "send_crashed",
+    "warning",
+    "The endpoint of a send crashed; one of the requests that it held may be the cause.",
+)
+
 
 class CrashDetector:
     """Detects whether one request's content crashes endpoints.
@@ -48,19 +58,26 @@
         if self._context.crashes.has_suspects:
             self._context.crashes.check(self._fingerprint())
 
-    def record_send(self, endpoint: EndpointRecord, result: SendResult) -> None:
+    def record_send(
+        self, endpoint: EndpointRecord, result: SendResult, streamed_ms: int | None = None
+    ) -> None:
         """Records the result of a send and probes the endpoint after a broken answer.
 
         An endpoint that broke off an answer and then refuses connections has crashed.
+
+        Args:
+            endpoint: The endpoint of the send.
+            result: The result of the send.
+            streamed_ms: Time since the first event of the answer; None before it.
         """
         if result.outcome is SendOutcome.BROKEN:
-            self._context.tasks.start(self._probe_endpoint(endpoint))
+            self._context.tasks.start(self._probe_endpoint(endpoint, streamed_ms))
             return
         ran_well = result.outcome is SendOutcome.WHOLE and result.head and result.head.status < 500
         if ran_well and self._context.crashes.has_suspects:
             self._context.crashes.record_success(self._fingerprint())
 
-    async def _probe_endpoint(self, endpoint: EndpointRecord) -> None:
+    async def _probe_endpoint(self, endpoint: EndpointRecord, streamed_ms: int | None) -> None:
         """Reports a crash when the endpoint refuses a new connection."""
         try:
             connection = await self._context.client.connect(
@@ -71,7 +88,16 @@
             if not error.refused:
                 return
             lifetime = f"{endpoint.id}/{endpoint.started_ms}"
-            self._context.crashes.record_crash(self._fingerprint(), lifetime)
+            fingerprint, prompt = self._fingerprint(), self._request.prompt
+            log(
+                SEND_CRASHED,
+                request=self._request.id,
+                endpoint=lifetime,
+                content=format_fingerprint(fingerprint),
+                prompt=prompt.summary if prompt else "",
+                streamed_ms=streamed_ms,
+            )
+            self._context.crashes.record_crash(fingerprint, lifetime)
         else:
             connection.close()
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -384,7 +384,7 @@
     def _record_result(self, send: OpenSend, result: SendResult, start_ms: int) -> None:
         """Reports a send to the crash detector, the circuit breakers and the context's callback."""
         endpoint = send.endpoint
-        self._crash_detector.record_send(endpoint, result)
+        self._crash_detector.record_send(endpoint, result, self._streamed_ms)
         breakers = self._context.loads.breakers
         if result.outcome is SendOutcome.WHOLE:
             breakers.record_success(endpoint.id)
@@ -403,6 +403,12 @@
             )
         )
 
+    @property
+    def _streamed_ms(self) -> int | None:
+        """Time since the first event of the current stream; None before it."""
+        first_ms = self._first_event_at_ms
+        return None if first_ms is None else self._context.clock.now() - first_ms
+
     def _pace_ms(self, result: SendResult, start_ms: int) -> float | None:
         """Returns the mean time per event of a stream, or the time of a plain answer.
 
