Refuse prompts with a part that crashes endpoints, on the evidence of the whole fleet

Callers saw failures for many seconds: requests that share one part of their prompts crash each endpoint that begins an answer, no two of them alike.

Cause: evidence was kept by a fingerprint of the whole content, so that what one request showed said nothing of the next one; each could crash three endpoints. The class: what one instance sees of one request stands for what the fleet knows of its parts.

Change: quarantine/parts.py. A crash casts suspicion on all shared parts of the prompts that the endpoint held, unless their stream was well under way; instances tell each other. A part is refused after three crashes (five if it completed before) of two different contents without a success since, unless another part that the prompt lacks explains them. Crashes that come together count once unless the same request was at both. A success anywhere clears a part. One instance tries a refused part again 10 s, then 60 s after its last crash. An answer that ends with its connection clears nothing before the endpoint has accepted a connection.

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -32,6 +32,9 @@
     "started": ("process", ""),
     "crash_reported": ("content", "content"),
     "content_cleared": ("content", "content"),
+    "part_refused": ("part", "part"),
+    "part_cleared": ("part", "part"),
+    "part_tried": ("part", "part"),
 }
 """Kind of subject that each event reports on, and the event's field with the subject's id."""
 OMITTED_FIELDS = frozenset({"event", "number", "level", "timestamp", "instance", "request"})
@@ -181,6 +184,8 @@
         )
     if code == "content_refused":
         return "The content had crashed endpoints before; see the crash_reported events."
+    if code == "part_refused":
+        return f"{end.get('detail', '')} {_describe_parts(str(end.get('detail', '')), state)}"
     if code == "endpoints_limited":
         return f"Every endpoint's rate limit was used up: {_describe_limits(state)}."
     if code == "endpoints_away":
@@ -248,6 +253,16 @@
     return "; ".join(parts) + "."
 
 
+def _describe_parts(detail: str, state: InstanceState) -> str:
+    """Says since when, and for which crashes, the part named in a detail is refused."""
+    refused = [
+        f"Refused since {record['timestamp']}; crashed: {', '.join(record['endpoints'])}."
+        for record in state.newest_of_kind("part")
+        if record["event"] == "part_refused" and f" {record['part']} " in detail
+    ]
+    return " ".join(refused) or "The crashes were before these logs."
+
+
 def _describe_limits(state: InstanceState) -> str:
     """Lists the rate limits in force, by endpoint."""
     limits = [
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -10,6 +10,7 @@
     share_leaving,
     share_limits,
     share_loads,
+    share_part_crashes,
     share_sessions,
 )
 
@@ -24,5 +25,6 @@
     "share_leaving",
     "share_limits",
     "share_loads",
+    "share_part_crashes",
     "share_sessions",
 ]
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -12,6 +12,7 @@
 from mastickeel.peers import message
 from mastickeel_router.availability import EndpointLeavingNotice
 from mastickeel_router.placement import WorkSentNotice
+from mastickeel_router.quarantine.parts import PartCrashReport, PartSuccessNotice
 from mastickeel_router.quarantine.reports import ContentCrashReport, ContentSuccessNotice
 from mastickeel_router.ratelimits import EndpointLimitNotice, PermitReply, PermitRequest
 from mastickeel_router.releases import EvidenceReport
@@ -24,6 +25,7 @@
     from mastickeel_router.availability import EndpointAvailability
     from mastickeel_router.fleet.broadcast import Broadcast
     from mastickeel_router.placement import EndpointLoads
+    from mastickeel_router.quarantine.parts import PartSuspicions
     from mastickeel_router.quarantine.reports import CrashReports
     from mastickeel_router.ratelimits import EndpointLimits, PermitIssuer
     from mastickeel_router.releases import Releases, SessionVersions
@@ -96,6 +98,18 @@
     )
 
 
+def share_part_crashes(broadcast: Broadcast, suspicions: PartSuspicions) -> None:
+    """Sends the crashes and successes of prompts' parts to the peers and applies theirs."""
+    suspicions.on_crash.append(broadcast.publish)
+    suspicions.on_success.append(broadcast.publish)
+    broadcast.register_handler(
+        PartCrashReport, lambda sender, report: suspicions.apply_crash_report(report)
+    )
+    broadcast.register_handler(
+        PartSuccessNotice, lambda sender, notice: suspicions.apply_success(notice)
+    )
+
+
 def share_era(broadcast: Broadcast, era: StoreEra) -> None:
     """Sends a new era of the store to the peers, which may learn of it before the store answers."""
     era.on_change.append(lambda number: broadcast.publish(StoreEraNotice(number)))
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -33,6 +33,7 @@
     share_leaving,
     share_limits,
     share_loads,
+    share_part_crashes,
     share_sessions,
 )
 from mastickeel_router.gateway.counted_store import CountedStore
@@ -40,6 +41,7 @@
 from mastickeel_router.gateway.metrics import METRICS_PATH, GatewayMetrics
 from mastickeel_router.gateway.pages import Page, PageListener
 from mastickeel_router.placement import EndpointLoads
+from mastickeel_router.quarantine.parts import PartSuspicions
 from mastickeel_router.quarantine.reports import CrashReports
 from mastickeel_router.ratelimits import EndpointLimits, PermitIssuer, SendPermits
 from mastickeel_router.relay import CallerListener, Dispatcher
@@ -133,6 +135,8 @@
         """Retry budget."""
         self.crashes = CrashReports(clock, self._runs_trial)
         """Request contents that crashed endpoints."""
+        self.crashing_parts = PartSuspicions(clock, self._rank_of)
+        """Parts of prompts that are suspected of crashing endpoints."""
         self.limits = EndpointLimits(clock)
         """Rate limits that endpoints have named."""
         self.availability = EndpointAvailability(clock, self.rng)
@@ -225,6 +229,9 @@
             await self._link.bind(self.settings.peers.listen)
             self._tasks.start_supervised(self.clock, "register", self._instances.keep_registered)
             self._tasks.start_supervised(self.clock, "tell crashes", self.crashes.run_resending)
+            self._tasks.start_supervised(
+                self.clock, "tell crashing parts", self.crashing_parts.run_resending
+            )
             handlers_by_prefix[self._instances.entries_prefix] = self._instances.entry_handler()
         self._follow_store(combine_handlers(handlers_by_prefix))
         for name, work in self.releases.work_by_name().items():
@@ -288,9 +295,13 @@
 
     def _runs_trial(self, fingerprint: int) -> bool:
         """Whether this instance, of all live ones, runs the trial of a refused content."""
+        return self._rank_of(str(fingerprint)) == 0
+
+    def _rank_of(self, key: str) -> int:
+        """Returns the rank of this instance among all live ones for a key, from 0."""
         own_id = self.settings.instance.id
         peer_ids = self._link.peer_ids if self._link is not None else ()
-        return rank(str(fingerprint), (own_id, *peer_ids))[0] == own_id
+        return rank(key, (own_id, *peer_ids)).index(own_id)
 
     def _count_instances(self) -> int:
         """Returns the number of instances of the fleet that are known now, with this one."""
@@ -338,6 +349,7 @@
         share_evidence(broadcast, self.releases)
         share_sessions(broadcast, self.releases.sessions)
         share_crashes(broadcast, self.crashes)
+        share_part_crashes(broadcast, self.crashing_parts)
         share_era(broadcast, self._store.era)
         share_limits(
             broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
@@ -361,6 +373,7 @@
             loads=self.loads,
             budget=self.budget,
             crashes=self.crashes,
+            crashing_parts=self.crashing_parts,
             limits=self.limits,
             availability=self.availability,
             permits=self.permits,
@@ -410,6 +423,11 @@
             "Endpoints that want no requests from this instance for a time",
             lambda: sum(map(bool, map(self.availability.wait_ms, self.registry.all()))),
         )
+        metrics.add_gauge(
+            "parts_refused",
+            "Parts of prompts that are refused because they crashed endpoints",
+            lambda: len(self.crashing_parts.refused_parts),
+        )
         metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
         metrics.add_gauge(
             "routes_version",
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -17,6 +17,7 @@
     from mastickeel_router.availability import EndpointAvailability
     from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
     from mastickeel_router.placement import EndpointLoads
+    from mastickeel_router.quarantine.parts import PartSuspicions
     from mastickeel_router.quarantine.reports import CrashReports
     from mastickeel_router.ratelimits import EndpointLimits, SendPermits
     from mastickeel_router.relay.budget import RetryBudget
@@ -115,6 +116,8 @@
     budget: RetryBudget
     crashes: CrashReports
     """Reports of contents that crash endpoints; refuses such contents."""
+    crashing_parts: PartSuspicions
+    """Parts of prompts that are suspected of crashing endpoints; refuses such parts."""
     limits: EndpointLimits
     """Rate limits that endpoints have named."""
     availability: EndpointAvailability
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -112,10 +112,10 @@
             limit = request.timeout_ms - ANSWER_MARGIN_MS
             self._limit_detail = f"the caller waits for {request.timeout_ms} ms."
         self._deadline_ms = self._progress.started_ms + limit
-        account = caller.name if caller else ""
-        self._crash_detector = CrashDetector(context, request, account, body)
         self._pin = context.sessions.version_of(request.session)
         self._service = _choose_service(route, context.rng)
+        account = caller.name if caller else ""
+        self._crash_detector = CrashDetector(context, request, account, body, service=self._service)
         self._cascade = Cascade(request, route, traits=self._engine_traits(), loads=context.loads)
         self._placer = Placer(
             context,
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -66,6 +66,18 @@
         self.assertIn("e1 1.6 a second since 2026-09-20T22:07:01", cause)
         self.assertNotIn("e2", cause)
 
+    def test_part_that_crashed_endpoints(self) -> None:
+        cause = self.cause(
+            line(1, "part_refused", part="s/bad", endpoints=["e1/1", "e2/1"]),
+            line(2, "part_refused", part="s/other", endpoints=["e3/1"]),
+            request_end(
+                3, "refused", code="part_refused", detail="Prompts with part s/bad are refused."
+            ),
+        )
+        self.assertIn("Refused since 2026-09-20T22:07:01", cause)
+        self.assertIn("crashed: e1/1, e2/1", cause)
+        self.assertNotIn("e3", cause)
+
     def test_endpoints_that_turned_requests_away(self) -> None:
         cause = self.cause(
             line(1, "endpoint_away", endpoint="e1", away_ms=2_000),
--- a/tests/mastickeel_platform/test_crashing_parts.py
+++ b/tests/mastickeel_platform/test_crashing_parts.py
@@ -1,4 +1,4 @@
-"""Requests that share a part of their prompts and crash endpoints are refused; others are served."""
+"""Prompts with a part that crashes endpoints are refused; others are served."""
 
 from __future__ import annotations
 
