Soak: a part of prompts that crashes endpoints, alone and with the other faults

The rule on requests after the fifth crash is checked from what endpoints got; sound requests with the same first part may be refused for a part in at most 5 in 100 cases.

--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -1,4 +1,4 @@
-"""Soak of gateways as processes before endpoints that limit, leave and turn away, under faults.
+"""Soak of gateways as processes before endpoints that limit, leave, turn away and crash.
 
 Run by hand with more seeds and instances:
 ``python -m tests.mastickeel_platform.limit_soak --first 1 --seeds 50 --instances 9``.
@@ -16,6 +16,7 @@
 import signal
 import sys
 import tempfile
+import zlib
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from functools import partial
@@ -56,12 +57,23 @@
 MAX_SENT_WHILE_AWAY = 2
 """Time after a refusal with a time to stay away, and the most requests between it and the end."""
 AWAY_S = (0.6, 1.5, 3.0, 6.0)
+CRASHES_BEFORE = 5
+MAX_SENT_TO_CRASH = 3
+"""Crashes of a part after which, CONTACT_MS later, requests with it count, and the most of them."""
+MAX_SOUND_REFUSED = 0.05
+"""Largest share of requests without a crashing part that may be refused for their parts."""
+CRASH_AFTER_MS = (20, 120)
+RESTART_MS = 1_000
+CRASHING_INTERVAL_MS = 250
+CRASHING_FOR_MS = (3_000, 9_000)
 START_TIMEOUT_MS = 30_000
 REQUEST_TIMEOUT_MS = 8_000
 REQUEST_INTERVAL_MS = 150
 """Mean time between two requests of one client; each instance has two clients."""
 WORK_MS = (5, 60)
 FAULT_PAUSE_MS = 1_500
+CRASHING_PREFIX = "bad"
+SOUND_PARTS = "f1:5,50:10"
 CONFIGURATION = configuration(7, route("look", "safe", max_attempts=2))
 
 
@@ -75,6 +87,8 @@
     born: int
     """Start of the endpoint's process."""
     ran: bool
+    part: str = ""
+    """The crashing part of its prompt; empty for none."""
 
 
 @dataclass(frozen=True)
@@ -157,6 +171,7 @@
         self._outcomes: Counter[str] = Counter()
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
+        self._crashes_ms_by_part: dict[str, list[int]] = defaultdict(list)
         self._ids_by_sender: dict[str, str] = {}
         self._refused_ids: set[str] = set()
         self._ended = False
@@ -203,7 +218,15 @@
         now = self._clock.now()
         sender = self._ids_by_sender.get(request.id, "")
         away_s, born = endpoint.away_s, endpoint.born
-        endpoint.arrivals.append(Arrival(now, sender, request.id, born, away_s is None))
+        middle = request.headers.get("prompt-prefix", "").split(",")[1:2]
+        part = middle[0] if middle and middle[0].startswith(CRASHING_PREFIX) else ""
+        endpoint.arrivals.append(Arrival(now, sender, request.id, born, away_s is None, part))
+        if part and away_s is None:
+            await self._clock.sleep(self._rng.uniform(*CRASH_AFTER_MS))
+            if endpoint.born == born:
+                self._crashes_ms_by_part[part].append(self._clock.now())
+                self._tasks.start(self._crash(endpoint))
+            return
         fields = []
         if away_s is not None:
             fields += ["Not-Executed: 1", f"Retry-After: {away_s}"]
@@ -220,6 +243,16 @@
         status = "200 OK" if away_s is None else "503 Busy"
         writer.write(answer_bytes(request, status=status, extra="\r\n".join(fields)))
 
+    async def _crash(self, endpoint: LimitedEndpoint) -> None:
+        """Crashes an endpoint, which starts again under another time of its start."""
+        endpoint.set_limit(None, self._clock.now())
+        endpoint.born += 1
+        endpoint.is_leaving = endpoint.is_draining = False
+        endpoint.server.crash()
+        await self._clock.sleep(RESTART_MS)
+        await endpoint.server.start()
+        self._write_entry(endpoint)
+
     async def _start(self, instance: Instance, folder: Path) -> None:
         """Starts a gateway process and waits until it listens."""
         path = folder / f"{instance.id}.conf"
@@ -258,8 +291,8 @@
             request_id = self._name_request(instance, f"n{number}")
             await self._exchange(instance, request_id, self._call(instance.port, request_id))
 
-    async def _call(self, port: int, request_id: str) -> Reply:
-        return await call(port, request_bytes("/look/a", request_id))
+    async def _call(self, port: int, request_id: str, parts: str = SOUND_PARTS) -> Reply:
+        return await call(port, _prompt_bytes(request_id, parts))
 
     async def _send_on_kept(self, instance: Instance) -> None:
         """Sends requests on one connection until its process is gone, then opens another."""
@@ -275,7 +308,7 @@
                 number += 1
                 await self._pause()
                 request_id = self._name_request(instance, f"k{number}")
-                writer.write(request_bytes("/look/a", request_id))
+                writer.write(_prompt_bytes(request_id, SOUND_PARTS))
                 is_open = await self._exchange(instance, request_id, read_reply(reader))
             writer.close()
 
@@ -293,7 +326,9 @@
         except (OSError, TimeoutError, ValueError, IndexError) as error:
             self._outcomes[type(error).__name__] += 1
             return False
-        self._outcomes[str(got.status)] += 1
+        is_part = got.status == 503 and b'"part_refused"' in got.body
+        self._outcomes["part_refused" if is_part else str(got.status)] += 1
+        self._outcomes["sound_refused"] += is_part and CRASHING_PREFIX not in request_id
         if got.status in (401, 403, 404):
             self._violations.append(f"{request_id}: {got.status} though the route is there")
         if got.status == 503:
@@ -319,6 +354,7 @@
             "older": self._restore_older_copy,
             "leave": self._replace_endpoint,
             "away": self._turn_away,
+            "part": self._send_crashing_part,
         }
         for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
             endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
@@ -356,6 +392,22 @@
         await self._clock.sleep(self._rng.uniform(500, 3_000))
         endpoint.away_s = None
 
+    async def _send_crashing_part(self) -> None:
+        """Sends requests with one part that crashes endpoints, no two alike, to any instance."""
+        part = f"{CRASHING_PREFIX}{self._rng.getrandbits(32):08x}:10"
+        end_ms = self._clock.now() + self._rng.uniform(*CRASHING_FOR_MS)
+        number = 0
+        while self._clock.now() < end_ms:
+            number += 1
+            instance = self._rng.choice(self._instances)
+            request_id = self._name_request(instance, f"{part}-{number}")
+            self._tasks.start(
+                self._exchange(
+                    instance, request_id, self._call(instance.port, request_id, f"f1:5,{part}")
+                )
+            )
+            await self._clock.sleep(self._rng.expovariate(1 / CRASHING_INTERVAL_MS))
+
     async def _restart(self, signal_number: signal.Signals, folder: Path) -> None:
         instance = self._rng.choice(self._instances)
         process = instance.process
@@ -432,12 +484,32 @@
             arrival.request_id for one in self._endpoints for arrival in one.arrivals if arrival.ran
         }
         self._violations += [f"{one}: refused but run" for one in ran_ids & self._refused_ids]
+        for part, crashes_ms in self._crashes_ms_by_part.items():
+            self._check_part(part, sorted(crashes_ms))
+        if self._outcomes["sound_refused"] > MAX_SOUND_REFUSED * self._outcomes["200"]:
+            self._violations.append(f"{self._outcomes['sound_refused']} sound requests refused")
         for endpoint in self._endpoints:
             for per_second, begin_ms, end_ms in endpoint.periods:
                 self._check_period(endpoint, per_second, begin_ms + CONTACT_MS, end_ms)
             for statement in endpoint.statements:
                 self._check_statement(endpoint, statement)
 
+    def _check_part(self, part: str, crashes_ms: list[int]) -> None:
+        """Checks that the instances stop to send a part that has crashed endpoints."""
+        if len(crashes_ms) < CRASHES_BEFORE:
+            return
+        begin_ms = crashes_ms[CRASHES_BEFORE - 1] + CONTACT_MS
+        sent = [
+            arrival
+            for endpoint in self._endpoints
+            for arrival in endpoint.arrivals
+            if arrival.part == part and arrival.at_ms > begin_ms and not self._is_excused(arrival)
+        ]
+        if len(sent) > MAX_SENT_TO_CRASH:
+            self._violations.append(
+                f"{part}: {len(sent)} requests after {len(crashes_ms)} crashes at {crashes_ms}"
+            )
+
     def _check_statement(self, endpoint: LimitedEndpoint, statement: Statement) -> None:
         """Checks what the receiver of a statement sent after it; a fault since then excuses it."""
         begin_ms, end_ms = statement.at_ms + DRAIN_MS, math.inf
@@ -486,6 +558,14 @@
         )
 
 
+def _prompt_bytes(request_id: str, parts: str) -> bytes:
+    """Returns the bytes of a request whose prompt has these parts and one of its own."""
+    body = request_id.encode()
+    own = f"{zlib.crc32(body):x}:10"
+    headers = f"Model: m\r\nToken-Count: 100,20\r\nPrompt-Prefix: {parts},{own}"
+    return request_bytes("/look/a", request_id, body=body, headers=headers)
+
+
 async def _discard(stream: asyncio.StreamReader | None) -> None:
     """Reads a stream to its end."""
     while stream is not None and await stream.read(65_536):
--- a/tests/mastickeel_platform/standins.py
+++ b/tests/mastickeel_platform/standins.py
@@ -49,6 +49,7 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> int:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -60,6 +61,13 @@
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Resets all connections and refuses new ones, as at the crash of the process."""
+        self.close_listener()
+        for writer in self._writers:
+            if not writer.is_closing():
+                reset_connection(writer)
+
     async def stop(self) -> None:
         self.close_listener()
         for task in list(self._tasks):
@@ -70,6 +78,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         try:
             while (request := await _read_request(reader)) is not None:
                 self.requests.append(request)
@@ -79,6 +88,7 @@
             return
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             writer.close()
 
 
--- a/tests/mastickeel_platform/test_crashing_parts.py
+++ b/tests/mastickeel_platform/test_crashing_parts.py
@@ -15,7 +15,6 @@
     entry,
     event_bytes,
     request_bytes,
-    reset_connection,
     stream_head_bytes,
 )
 
@@ -39,7 +38,6 @@
         self.crashes = 0
         self._case = case
         self._number = number
-        self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -49,22 +47,16 @@
         self._case.store.put(key, entry(self.server.port, born=1 + self.crashes))
 
     async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
         writer.write(stream_head_bytes(request) + chunk_bytes(event_bytes(1)))
         if CRASHING_PART in request.headers["prompt-prefix"]:
             self._crash()
             return
         await asyncio.sleep(0.02)
-        self._writers.discard(writer)
         writer.write(chunk_bytes(event_bytes(2)) + b"0\r\n\r\n")
 
     def _crash(self) -> None:
-        self.server.close_listener()
+        self.server.crash()
         self._case.store.delete(f"servers/i-{self._number}-{self.crashes}")
-        for writer in self._writers:
-            if not writer.is_closing():
-                reset_connection(writer)
-        self._writers.clear()
         self.crashes += 1
         task = asyncio.create_task(self._restart())
         self._tasks.add(task)
