Serve requests through peers while an instance is cut off from the endpoints

Callers at instances that had lost their links to the endpoints were refused for as long as the cut lasted, while other instances reached the same endpoints.

Cause: an instance took what it could reach itself for what the fleet could reach. It refused requests after four endpoints, paused all of them, and reported refused connections as crashes of endpoints that went on.

Two endpoints that give no connection, without a success in between, mean that the instance is cut off; it then connects through a peer, which opens a tunnel with HTTP's CONNECT to listed endpoints only, 200 at most, and passes bytes on. Everything that decides stays where the caller is, so that sends, retries, permits and deadlines are counted once. The tunnel's socket resets on close until the endpoint has ended in order. What an endpoint says about staying away is told to the peer. Peers that are cut off say so and are not asked; drains wait for tunnels; two probes bring the own path back.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -37,6 +37,7 @@
     HttpHead,
     HttpRequest,
     Timeouts,
+    TunnelRefusedError,
 )
 
 if TYPE_CHECKING:
@@ -95,6 +96,8 @@
     def __init__(self, stream: IOStream, address: Address, client: HttpClient) -> None:
         self.address = address
         """The address of the server."""
+        self.via = ""
+        """Id of the instance through which the connection goes; empty for none."""
         self.reused = False
         """Whether an earlier exchange has used the connection."""
         self.idle_since_ms = 0
@@ -362,7 +365,12 @@
         self._sweeper: asyncio.Task[None] | None = None
 
     async def connect(
-        self, address: Address, *, timeouts: Timeouts | None = None, fresh: bool = False
+        self,
+        address: Address,
+        *,
+        timeouts: Timeouts | None = None,
+        fresh: bool = False,
+        via: Address | None = None,
     ) -> HttpConnection:
         """Returns an open connection, from the pool where allowed.
 
@@ -372,6 +380,8 @@
             fresh: Whether to open a new connection instead of using the pool, as for calls that
                 must not be repeated: an idle connection may be dead, and a request lost on it may
                 still have reached the server.
+            via: Address of an instance that opens a tunnel to the server; None to connect
+                directly. Only with ``fresh``.
 
         Returns:
             An open connection.
@@ -382,17 +392,59 @@
         if not fresh and (pooled := self._pop_idle(address)):
             return pooled
         timeout_ms = (timeouts or Timeouts()).connect_ms
+        stream = await self.open_stream(address, timeout_ms, via)
+        return HttpConnection(stream, address, self)
+
+    async def open_stream(
+        self, address: Address, timeout_ms: float, via: Address | None = None
+    ) -> IOStream:
+        """Opens a connection to a server and returns its stream.
+
+        Args:
+            address: The address of the server.
+            timeout_ms: The longest time to wait.
+            via: Address of an instance that opens a tunnel to the server; None for none.
+
+        Raises:
+            ConnectionFailedError: When no connection could be made.
+        """
+        begin_ms = self.clock.now()
         try:
-            stream = await self._open(address, timeout_ms)
+            stream = await self._open(via or address, timeout_ms)
+            if not stream.closed():
+                configure_socket(stream.socket)
+            if via is not None:
+                left_ms = timeout_ms - (self.clock.now() - begin_ms)
+                await self._request_tunnel(stream, address, left_ms)
         except (OSError, StreamClosedError, TimeoutError) as error:
-            failure = ConnectionFailedError(f"No connection to {address}: {error}.")
+            failure = ConnectionFailedError(f"No connection to {via or address}: {error}.")
             reason = error.real_error if isinstance(error, StreamClosedError) else error
-            failure.refused = isinstance(reason, ConnectionRefusedError)
+            failure.refused = via is None and isinstance(reason, ConnectionRefusedError)
             raise failure from error
         if stream.closed():
-            raise ConnectionFailedError(f"{address} closed the connection at once.")
-        configure_socket(stream.socket)
-        return HttpConnection(stream, address, self)
+            raise ConnectionFailedError(f"{via or address} closed the connection at once.")
+        return stream
+
+    async def _request_tunnel(self, stream: IOStream, address: Address, timeout_ms: float) -> None:
+        """Requests a tunnel to an address on a connection to another instance.
+
+        Raises:
+            TunnelRefusedError: When the instance did not open it.
+        """
+        try:
+            await stream.write(f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+            reading = stream.read_until(b"\r\n\r\n", max_bytes=HEADER_LIMIT_BYTES)
+            head = (await self.clock.wait_for(reading, timeout_ms)).decode("latin1")
+        except BaseException:
+            stream.close()
+            raise
+        line, _, fields = head.partition("\r\n")
+        if line.split(" ")[1:2] == ["200"]:
+            return
+        stream.close()
+        status = HTTPHeaders.parse(fields).get("Proxy-Status", "")
+        detail = f"No tunnel to {address}: {line}; {status}."
+        raise TunnelRefusedError(detail, status.partition("error=")[2])
 
     async def _open(self, address: Address, timeout_ms: float) -> IOStream:
         """Opens a stream; closes the socket when that fails."""
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -58,6 +58,26 @@
     """Whether the host refused the connection because no process listens on the port."""
 
 
+class TunnelRefusedError(ConnectionFailedError):
+    """Raised when another instance did not open a tunnel to the server."""
+
+    code = "tunnel_refused"
+    title = "Another instance did not open a tunnel."
+    remedy = "Check the path from that instance to the address."
+
+    def __init__(self, detail: str, reason: str) -> None:
+        """Creates the error.
+
+        Args:
+            detail: Describes the attempt.
+            reason: Error type of the answer's `Proxy-Status` header; empty when it has none.
+        """
+        super().__init__(detail)
+        self.reason = reason
+        """Error type of the answer's `Proxy-Status` header."""
+        self.refused = reason == "connection_refused"
+
+
 class ExchangeBrokenError(MastickeelError):
     """Raised when a connection broke after the request may have been sent."""
 
--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -28,6 +28,8 @@
     "endpoint_leaving": ("leaving", "endpoint"),
     "endpoint_away": ("away", "endpoint"),
     "release_plan": ("release", "service"),
+    "path_lost": ("path", ""),
+    "path_restored": ("path", ""),
     "stopping": ("process", ""),
     "started": ("process", ""),
     "crash_reported": ("content", "content"),
@@ -94,7 +96,7 @@
 
     def newest_related(self, record: Record) -> list[Record]:
         """Returns the newest records about the subjects that bear on a request's end record."""
-        subjects = [("process", ""), ("store", ""), ("configuration", "")]
+        subjects = [("process", ""), ("store", ""), ("path", ""), ("configuration", "")]
         subjects.append(("release", str(record.get("service", ""))))
         for endpoint_id in dict.fromkeys(record.get("endpoints") or ()):
             subjects += [(kind, endpoint_id) for kind in ("endpoint", "breaker", "limit")]
@@ -190,6 +192,9 @@
         return f"Every endpoint's rate limit was used up: {_describe_limits(state)}."
     if code == "endpoints_away":
         return f"Every endpoint had turned requests away: {_describe_away(state)}."
+    path = state.newest("path")
+    if code == "unavailable" and path is not None and path["event"] == "path_lost":
+        return f"Cut off from the endpoints since {path['timestamp']}, and no peer could help."
     if sends:
         return f"{code}: {_describe_sends(sends, state)}"
     if code == "deadline":
--- a/packages/mastickeel_router/src/mastickeel_router/availability/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/availability/__init__.py
@@ -2,7 +2,8 @@
 
 from mastickeel_router.availability.availability import (
     EndpointAvailability,
+    EndpointAwayNotice,
     EndpointLeavingNotice,
 )
 
-__all__ = ["EndpointAvailability", "EndpointLeavingNotice"]
+__all__ = ["EndpointAvailability", "EndpointAwayNotice", "EndpointLeavingNotice"]
--- a/packages/mastickeel_router/src/mastickeel_router/availability/availability.py
+++ b/packages/mastickeel_router/src/mastickeel_router/availability/availability.py
@@ -55,6 +55,18 @@
     """Unix time of the endpoint's start; a later start does not leave."""
 
 
+@message("endpoint_away")
+@dataclass(frozen=True)
+class EndpointAwayNotice:
+    """Notification to the peer that has passed a request on to an endpoint that turned it away."""
+
+    endpoint: str
+    started_ms: int
+    """Unix time of the endpoint's start."""
+    away_ms: int
+    """Time for which the endpoint wants no requests from that peer."""
+
+
 @dataclass(frozen=True)
 class _Statement:
     """What one process of an endpoint has said."""
@@ -108,16 +120,24 @@
             for callback in self.on_notice:
                 callback(notice)
         if head.away_ms:
-            self._record_away(endpoint, min(head.away_ms, MAX_AWAY_MS))
+            self._record_away(endpoint.id, endpoint.started_ms, min(head.away_ms, MAX_AWAY_MS))
 
     def apply_notice(self, notice: EndpointLeavingNotice) -> None:
         """Records that an endpoint has told another instance that it leaves."""
         self._record_leaving(notice, own=False)
 
+    def apply_away_notice(self, notice: EndpointAwayNotice) -> None:
+        """Records that an endpoint has turned away a request that this instance passed on."""
+        away_ms = max(0, min(notice.away_ms, MAX_AWAY_MS))
+        self._record_away(notice.endpoint, notice.started_ms, away_ms)
+
     def _find(self, endpoint: EndpointRecord) -> _Statement:
-        known = self._statements_by_id.get(endpoint.id)
-        if known is None or known.started_ms != endpoint.started_ms:
-            return _Statement(endpoint.started_ms)
+        return self._find_start(endpoint.id, endpoint.started_ms)
+
+    def _find_start(self, endpoint_id: str, started_ms: int) -> _Statement:
+        known = self._statements_by_id.get(endpoint_id)
+        if known is None or known.started_ms != started_ms:
+            return _Statement(started_ms)
         return known
 
     def _record_leaving(self, notice: EndpointLeavingNotice, *, own: bool) -> bool:
@@ -132,15 +152,15 @@
         self._store(endpoint_id, replace(known, is_leaving=True))
         return True
 
-    def _record_away(self, endpoint: EndpointRecord, away_ms: int) -> None:
-        known = self._statements_by_id.get(endpoint.id)
-        if known is not None and known.started_ms > endpoint.started_ms:
+    def _record_away(self, endpoint_id: str, started_ms: int, away_ms: int) -> None:
+        known = self._statements_by_id.get(endpoint_id)
+        if known is not None and known.started_ms > started_ms:
             return
-        log(ENDPOINT_AWAY, endpoint=endpoint.id, away_ms=away_ms)
+        log(ENDPOINT_AWAY, endpoint=endpoint_id, away_ms=away_ms)
         spread_ms = min(away_ms * RETURN_SPREAD, MAX_RETURN_SPREAD_MS)
         returns_ms = self._clock.now() + away_ms + round(self._rng.uniform(0, spread_ms))
-        known = self._find(endpoint)
-        self._store(endpoint.id, replace(known, returns_ms=max(known.returns_ms, returns_ms)))
+        known = self._find_start(endpoint_id, started_ms)
+        self._store(endpoint_id, replace(known, returns_ms=max(known.returns_ms, returns_ms)))
 
     def _store(self, endpoint_id: str, statement: _Statement) -> None:
         self._statements_by_id[endpoint_id] = statement
--- a/packages/mastickeel_router/src/mastickeel_router/breaker.py
+++ b/packages/mastickeel_router/src/mastickeel_router/breaker.py
@@ -105,6 +105,10 @@
                 pause_ms=breaker.open_ms,
             )
 
+    def reset(self) -> None:
+        """Closes all breakers: the failures were not those of the endpoints."""
+        self._breakers_by_id.clear()
+
     def record_success(self, endpoint_id: str) -> None:
         """Resets the failure count, and removes the breaker once the ramp is complete."""
         breaker = self._breakers_by_id.get(endpoint_id)
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -11,6 +11,7 @@
     share_limits,
     share_loads,
     share_part_crashes,
+    share_path_state,
     share_sessions,
 )
 
@@ -26,5 +27,6 @@
     "share_limits",
     "share_loads",
     "share_part_crashes",
+    "share_path_state",
     "share_sessions",
 ]
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -59,6 +59,8 @@
     address: str
     data_centre: str = ""
     link_mbps: float = 0.0
+    tunnels: str = ""
+    """Address at which the instance opens tunnels to endpoints; empty for none."""
 
 
 class InstanceDirectory:
@@ -90,6 +92,10 @@
         """Prefix of the keys of entries."""
         self.traits_by_peer: dict[str, PeerTraits] = {}
         """Traits of the peers, as far as their entries name them."""
+        self.tunnels_by_peer: dict[str, Address] = {}
+        """Addresses at which the peers open tunnels to endpoints, as far as they name one."""
+        self.tunnels_port = 0
+        """Port at which this instance opens tunnels to endpoints; 0 for none."""
         self._removed_ms_by_peer: dict[str, int] = {}
         self._host = host
         self._traits = traits
@@ -144,7 +150,8 @@
         lease = await self._store.grant(LEASE_TTL_SECONDS)
         address = f"{self._host}:{self._link.port}"
         key = f"{self.entries_prefix}{self._link.instance_id}"
-        entry = _Entry(address, self._traits.data_centre, self._traits.link_mbps)
+        tunnels = f"{self._host}:{self.tunnels_port}" if self.tunnels_port else ""
+        entry = _Entry(address, self._traits.data_centre, self._traits.link_mbps, tunnels)
         await self._store.txn((), (Put(key, msgspec.json.encode(entry), lease),))
         log(REGISTERED, address=address, lease=lease)
         return lease
@@ -164,6 +171,7 @@
         try:
             entry = _parse_entry(item.value)
             address = Address.parse(entry.address)
+            tunnels = Address.parse(entry.tunnels) if entry.tunnels else None
         except ValueError as error:
             log(PEER_REMOVED, peer=peer_id, error=str(error))
             return
@@ -172,6 +180,9 @@
         self._link.connect(peer_id, address)
         if entry.data_centre:
             self.traits_by_peer[peer_id] = PeerTraits(entry.data_centre, entry.link_mbps)
+        self.tunnels_by_peer.pop(peer_id, None)
+        if tunnels is not None:
+            self.tunnels_by_peer[peer_id] = tunnels
 
     def _remove_entry(self, key: str) -> None:
         peer_id = key.removeprefix(self.entries_prefix)
@@ -179,6 +190,7 @@
         if peer_id in self._link.peer_ids:
             self._removed_ms_by_peer[peer_id] = self._clock.now()
         self.traits_by_peer.pop(peer_id, None)
+        self.tunnels_by_peer.pop(peer_id, None)
         self._link.disconnect(peer_id)
 
 
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.peers import message
-from mastickeel_router.availability import EndpointLeavingNotice
+from mastickeel_router.availability import EndpointAwayNotice, EndpointLeavingNotice
+from mastickeel_router.paths import PathStateNotice
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.parts import PartCrashReport, PartSuccessNotice
 from mastickeel_router.quarantine.reports import ContentCrashReport, ContentSuccessNotice
@@ -24,6 +25,7 @@
     from mastickeel.storeera import StoreEra
     from mastickeel_router.availability import EndpointAvailability
     from mastickeel_router.fleet.broadcast import Broadcast
+    from mastickeel_router.paths import EndpointPaths
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.parts import PartSuspicions
     from mastickeel_router.quarantine.reports import CrashReports
@@ -150,8 +152,19 @@
         if is_listed(notice.endpoint):
             availability.apply_notice(notice)
 
+    def apply_away(sender: str, notice: EndpointAwayNotice) -> None:
+        if is_listed(notice.endpoint):
+            availability.apply_away_notice(notice)
+
     availability.on_notice.append(broadcast.publish)
     broadcast.register_handler(EndpointLeavingNotice, apply)
+    broadcast.register_handler(EndpointAwayNotice, apply_away)
+
+
+def share_path_state(broadcast: Broadcast, paths: EndpointPaths) -> None:
+    """Tells the peers whether this instance is cut off from the endpoints, and applies theirs."""
+    paths.on_state.append(broadcast.publish)
+    broadcast.register_handler(PathStateNotice, paths.apply_notice)
 
 
 def serve_permits(link: PeerLink, issuer: PermitIssuer) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -19,7 +19,7 @@
 from mastickeel.peers import PeerLink
 from mastickeel.rendezvous import rank
 from mastickeel.tasks import TaskGroup
-from mastickeel_router.availability import EndpointAvailability
+from mastickeel_router.availability import EndpointAvailability, EndpointAwayNotice
 from mastickeel_router.discovery import EndpointRegistry, follow_prefix
 from mastickeel_router.discovery.feeds import WatchHandler, combine_handlers
 from mastickeel_router.fleet import (
@@ -34,12 +34,15 @@
     share_limits,
     share_loads,
     share_part_crashes,
+    share_path_state,
     share_sessions,
 )
 from mastickeel_router.gateway.counted_store import CountedStore
 from mastickeel_router.gateway.keeping import LostWrites
 from mastickeel_router.gateway.metrics import METRICS_PATH, GatewayMetrics
 from mastickeel_router.gateway.pages import Page, PageListener
+from mastickeel_router.paths import EndpointPaths, PathMonitor, TunnelListener
+from mastickeel_router.paths.paths import TunnelPeer
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.quarantine.parts import PartSuspicions
 from mastickeel_router.quarantine.reports import CrashReports
@@ -52,14 +55,16 @@
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Mapping
 
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
+    from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.gateway.deployment import Deployment
     from mastickeel_router.gateway.keeping import KeptWrites
     from mastickeel_router.gateway.settings import GatewaySettings
     from mastickeel_router.relay.context import SendObservation
+    from mastickeel_router.relay.types import AnswerHead
 
 START_TIMEOUT_MS = 1_500
 """Maximum time that the callers' listener stays closed until the store's data is loaded. A refused
@@ -141,6 +146,26 @@
         """Rate limits that endpoints have named."""
         self.availability = EndpointAvailability(clock, self.rng)
         """What endpoints have said about taking further requests."""
+        self.path_monitor = PathMonitor()
+        """Whether this instance is cut off from the endpoints."""
+        self.path_monitor.on_change.append(self.loads.breakers.reset)
+        self.paths = EndpointPaths(
+            self.http,
+            clock=clock,
+            rng=self.rng,
+            monitor=self.path_monitor,
+            list_peers=self._list_tunnel_peers,
+            list_endpoints=self.registry.all,
+        )
+        """Connections to endpoints."""
+        self.tunnels = TunnelListener(
+            self.http,
+            clock=clock,
+            monitor=self.path_monitor,
+            find_endpoint=self._find_endpoint,
+            accepts=self.availability.accepts,
+        )
+        """Tunnels to endpoints for peers that are cut off from them."""
         self.answer_memory = AnswerMemory(settings.memory.answer_bytes)
         """Memory that the answers under way hold on this instance."""
         self.stopping = False
@@ -227,6 +252,9 @@
         }
         if self._link is not None and self._instances is not None and self.settings.peers:
             await self._link.bind(self.settings.peers.listen)
+            if self.settings.tunnels is not None:
+                self._instances.tunnels_port = self.tunnels.open(self.settings.tunnels.listen)
+            self._tasks.start_supervised(self.clock, "probe endpoints", self.paths.run_probes)
             self._tasks.start_supervised(self.clock, "register", self._instances.keep_registered)
             self._tasks.start_supervised(self.clock, "tell crashes", self.crashes.run_resending)
             self._tasks.start_supervised(
@@ -266,6 +294,7 @@
         stop = self.settings.stop
         deadline_ms = self.clock.now() + stop.grace_ms - stop.reserve_ms
         self.stopping = True
+        self.tunnels.refuse_new()
         log(events.STOPPING, open_requests=self._listener.open_requests)
         self._listener.disable_keep_alive()
         # In the background: a store that does not answer must not use up the grace period.
@@ -275,7 +304,7 @@
         idle_since_ms = self.clock.now()
         while (now := self.clock.now()) < deadline_ms:
             self._listener.close_idle()
-            if self._listener.open_requests:
+            if self._listener.open_requests or self.tunnels.open_count:
                 idle_since_ms = now
             elif now - idle_since_ms >= IDLE_BEFORE_STOP_MS:
                 break
@@ -285,6 +314,7 @@
         """Closes all listeners and connections at once, which aborts open requests."""
         open_requests = self._listener.open_requests
         await self._listener.close()
+        self.tunnels.close()
         await self._health_listener.close()
         await self._metrics_listener.close()
         await self._tasks.stop()
@@ -303,6 +333,29 @@
         peer_ids = self._link.peer_ids if self._link is not None else ()
         return rank(key, (own_id, *peer_ids)).index(own_id)
 
+    def _find_endpoint(self, address: Address) -> EndpointRecord | None:
+        """Returns the endpoint that is listed at an address; None if there is none."""
+        return next((one for one in self.registry.all() if one.address == address), None)
+
+    def _list_tunnel_peers(self) -> Mapping[str, TunnelPeer]:
+        """Returns the peers that open tunnels to endpoints, by id."""
+        if self._instances is None:
+            return {}
+        traits = self._instances.traits_by_peer
+        own_data_centre = self.settings.instance.data_centre
+        return {
+            peer: TunnelPeer(
+                address, peer in traits and traits[peer].data_centre == own_data_centre
+            )
+            for peer, address in self._instances.tunnels_by_peer.items()
+        }
+
+    def _notify_tunnel_peer(self, endpoint: EndpointRecord, head: AnswerHead, via: str) -> None:
+        """Tells the instance that has passed a request on that the endpoint turned it away."""
+        if head.away_ms and self._link is not None:
+            notice = EndpointAwayNotice(endpoint.id, endpoint.started_ms, head.away_ms)
+            self._link.send_notice(via, notice)
+
     def _count_instances(self) -> int:
         """Returns the number of instances of the fleet that are known now, with this one."""
         return 1 + (len(self._link.peer_ids) if self._link is not None else 0)
@@ -350,6 +403,7 @@
         share_sessions(broadcast, self.releases.sessions)
         share_crashes(broadcast, self.crashes)
         share_part_crashes(broadcast, self.crashing_parts)
+        share_path_state(broadcast, self.paths)
         share_era(broadcast, self._store.era)
         share_limits(
             broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
@@ -366,7 +420,7 @@
         return Context(
             clock=self.clock,
             rng=self.rng,
-            client=self.http,
+            paths=self.paths,
             dialect=self._deployment.dialect,
             table=self.table,
             registry=self.registry,
@@ -385,6 +439,7 @@
             open_sends=self.releases.evidence.open_sends,
             on_send=self._record_send,
             on_send_abandoned=self.releases.record_abandoned,
+            on_tunnelled_head=self._notify_tunnel_peer,
             on_request_end=self.metrics.record_request,
             on_error_reply=self.metrics.record_error_reply,
         )
@@ -428,6 +483,19 @@
             "Parts of prompts that are refused because they crashed endpoints",
             lambda: len(self.crashing_parts.refused_parts),
         )
+        metrics.add_gauge(
+            "path_lost",
+            "Whether this instance is cut off from the endpoints",
+            lambda: self.path_monitor.is_cut,
+        )
+        metrics.add_gauge(
+            "tunnels_open", "Tunnels open for other instances", lambda: self.tunnels.open_count
+        )
+        metrics.add_gauge(
+            "tunnels_used",
+            "Connections made through other instances since the start",
+            lambda: self.paths.tunnels_used,
+        )
         metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
         metrics.add_gauge(
             "routes_version",
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -89,6 +89,8 @@
     store: StoreSettings
     peers: PeersSettings | None = None
     """Listener for the other instances; None to share no state with them."""
+    tunnels: ListenSettings | None = None
+    """Listener for peers that are cut off from the endpoints; None to open no tunnels for them."""
     metrics: ListenSettings | None = None
     """Listener for metrics; None to serve none."""
     repeats: RetryLimits = field(default_factory=RetryLimits)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -12,10 +12,10 @@
     from collections.abc import Callable, Sequence
 
     from mastickeel.clock import Clock
-    from mastickeel.httpclient import HttpClient
     from mastickeel.tasks import TaskGroup
     from mastickeel_router.availability import EndpointAvailability
     from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
+    from mastickeel_router.paths import EndpointPaths
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.parts import PartSuspicions
     from mastickeel_router.quarantine.reports import CrashReports
@@ -23,7 +23,7 @@
     from mastickeel_router.relay.budget import RetryBudget
     from mastickeel_router.relay.memory import AnswerMemory
     from mastickeel_router.relay.policy import SendResult
-    from mastickeel_router.relay.types import CallerRequest, Dialect
+    from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect
     from mastickeel_router.releases.sessions import SessionVersions
     from mastickeel_router.routes import Route, RouteTable
 
@@ -108,7 +108,8 @@
 
     clock: Clock
     rng: random.Random
-    client: HttpClient
+    paths: EndpointPaths
+    """Opens connections to endpoints."""
     dialect: Dialect
     table: RouteTable
     registry: EndpointRegistry
@@ -140,6 +141,8 @@
     """Callback for each finished send."""
     on_send_abandoned: Callable[[OpenSend], None]
     """Callback for each send that the deadline or the caller's disconnect ended."""
+    on_tunnelled_head: Callable[[EndpointRecord, AnswerHead, str], None]
+    """Callback for each answer's head that came through another instance, with its id."""
     on_request_end: Callable[[RequestSummary], None]
     """Callback for each finished request that matched a route."""
     on_error_reply: Callable[[str], None]
--- a/packages/mastickeel_router/src/mastickeel_router/relay/crashes.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/crashes.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.events import define_event
-from mastickeel.httpmessages import BodyFraming, ConnectionFailedError, Timeouts
+from mastickeel.httpmessages import BodyFraming
 from mastickeel.logs import log
 from mastickeel_router.quarantine.fingerprints import format_fingerprint
 from mastickeel_router.quarantine.parts import list_part_keys
@@ -18,9 +18,6 @@
     from mastickeel_router.relay.policy import SendResult
     from mastickeel_router.relay.types import CallerRequest
 
-PROBE_TIMEOUT_MS = 1_000
-"""Connection timeout of a probe: allows one packet retransmission, and is a third of the time
-within which all instances must know of a crash."""
 MAX_BEGIN_MS = 1_000
 """Time after the first event from which a stream is no longer at its beginning, where a part of its
 prompt would have crashed the endpoint."""
@@ -51,7 +48,7 @@
         """Creates the detector for a request.
 
         Args:
-            context: Provides the crash reports and the client that probes endpoints.
+            context: Provides the crash reports and the paths to endpoints.
             request: The request.
             account: Name of the caller's client account; empty for none.
             body: The request's body.
@@ -119,7 +116,7 @@
         streamed_ms: int | None,
         status: int | None = None,
     ) -> None:
-        """Reports a crash when the endpoint refuses a new connection.
+        """Reports a crash when the endpoint's process has ended.
 
         Args:
             endpoint: The endpoint of the send.
@@ -127,31 +124,23 @@
             status: Status of an answer that is complete if the endpoint is alive; None if the
                 answer was broken off.
         """
-        try:
-            connection = await self._context.client.connect(
-                endpoint.address, timeouts=Timeouts(connect_ms=PROBE_TIMEOUT_MS), fresh=True
-            )
-        except ConnectionFailedError as error:
-            # A timeout may be a network fault; an endpoint whose process has ended refuses.
-            if not error.refused:
-                return
-            lifetime = f"{endpoint.id}/{endpoint.started_ms}"
-            fingerprint, prompt = self._fingerprint(), self._request.prompt
-            log(
-                SEND_CRASHED,
-                request=self._request.id,
-                endpoint=lifetime,
-                content=format_fingerprint(fingerprint),
-                prompt=prompt.summary if prompt else "",
-                streamed_ms=streamed_ms,
-            )
-            self._context.crashes.record_crash(fingerprint, lifetime)
-            if streamed_ms is None or streamed_ms < MAX_BEGIN_MS:
-                self._context.crashing_parts.record_crash(self._parts, fingerprint, lifetime)
-        else:
-            connection.close()
+        if not await self._context.paths.has_ended(endpoint):
             if status is not None:
                 self._record_success(status)
+            return
+        lifetime = f"{endpoint.id}/{endpoint.started_ms}"
+        fingerprint, prompt = self._fingerprint(), self._request.prompt
+        log(
+            SEND_CRASHED,
+            request=self._request.id,
+            endpoint=lifetime,
+            content=format_fingerprint(fingerprint),
+            prompt=prompt.summary if prompt else "",
+            streamed_ms=streamed_ms,
+        )
+        self._context.crashes.record_crash(fingerprint, lifetime)
+        if streamed_ms is None or streamed_ms < MAX_BEGIN_MS:
+            self._context.crashing_parts.record_crash(self._parts, fingerprint, lifetime)
 
     def _fingerprint(self) -> int:
         return compute_relay_fingerprint(self._account, self._request.head.target, self._body)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -73,6 +73,8 @@
     """Reason for an incomplete answer, for the log."""
     end: AnswerEnd | None = None
     """How the answer ended; None when no head arrived."""
+    via: str = ""
+    """Id of the instance through which the request was sent; empty for none."""
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/requestlog.py
@@ -122,11 +122,12 @@
 
 
 def describe_answer_end(result: SendResult) -> dict[str, object]:
-    """Returns log fields that tell how an answer was framed and ended; empty without a head."""
+    """Returns log fields that tell on which path an answer came, how it was framed and ended."""
     end = result.end
     if end is None:
-        return {}
+        return {"via": result.via} if result.via else {}
     return {
+        "via": result.via,
         "framing": end.framing.value,
         "connection_end": end.connection.value,
         "unfinished_bytes": end.unfinished_bytes,
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -293,7 +293,7 @@
         context.open_sends.add(send)
         try:
             result = await send_request(
-                context.client,
+                context.paths,
                 http_request,
                 endpoint,
                 answer,
@@ -301,6 +301,8 @@
                 remaining_ms=self._remaining_ms,
                 may_send=lambda: context.availability.accepts(endpoint),
             )
+            if result.via and result.head is not None:
+                context.on_tunnelled_head(endpoint, result.head, result.via)
         except (StreamClosedError, asyncio.CancelledError):
             context.on_send_abandoned(send)
             raise
@@ -388,6 +390,9 @@
         breakers = self._context.loads.breakers
         if result.outcome is SendOutcome.WHOLE:
             breakers.record_success(endpoint.id)
+        elif result.outcome is SendOutcome.UNREACHED and self._context.paths.is_cut:
+            # The failure says nothing of the endpoint.
+            pass
         elif result.outcome is SendOutcome.BROKEN or is_endpoint_absent(result):
             breakers.record_failure(endpoint.id, unreachable=is_endpoint_absent(result))
         pace_ms = self._pace_ms(result, start_ms)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -22,9 +22,9 @@
     from collections.abc import Awaitable, Callable
 
     from mastickeel.clock import Clock
-    from mastickeel.httpclient import HttpClient
     from mastickeel.httpmessages import ConnectionEnd, HttpHead, HttpRequest
     from mastickeel_router.discovery import EndpointRecord
+    from mastickeel_router.paths import EndpointPaths
     from mastickeel_router.relay.listener import Responder
     from mastickeel_router.relay.memory import AnswerMemory, MemoryShare
     from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect, Progress
@@ -77,7 +77,7 @@
 
 
 async def send_request(
-    client: HttpClient,
+    paths: EndpointPaths,
     http_request: HttpRequest,
     endpoint: EndpointRecord,
     answer: AnswerCollector,
@@ -89,7 +89,7 @@
     """Sends one request and collects or forwards its answer.
 
     Args:
-        client: Opens the connection.
+        paths: Opens the connection.
         http_request: The request as written to the endpoint.
         endpoint: The endpoint.
         answer: Collects or forwards the answer.
@@ -102,9 +102,7 @@
     """
     timeouts = _timeouts(route, remaining_ms)
     try:
-        # A reused connection may be dead, silent or hold the answer to another request; a new
-        # connection costs the endpoint a millisecond.
-        connection = await client.connect(endpoint.address, timeouts=timeouts, fresh=True)
+        connection = await paths.connect(endpoint, timeouts)
     except ConnectionFailedError as error:
         return SendResult(SendOutcome.UNREACHED, reason=f"{error.code}: {error.detail}")
     if not may_send():
@@ -126,7 +124,7 @@
         answer.release_events()
         end = answer.describe_end(connection.end)
         connection.close()
-    return replace(result, end=end)
+    return replace(result, end=end, via=connection.via)
 
 
 def _timeouts(route: Route, remaining_ms: float) -> Timeouts:
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -78,6 +78,13 @@
         self.assertIn("crashed: e1/1, e2/1", cause)
         self.assertNotIn("e3", cause)
 
+    def test_instance_that_is_cut_off(self) -> None:
+        lost = line(1, "path_lost", endpoints=["e1", "e2"])
+        end = request_end(3, "refused", code="unavailable")
+        self.assertIn("Cut off from the endpoints since", self.cause(lost, end))
+        restored = line(2, "path_restored")
+        self.assertNotIn("Cut off", self.cause(lost, restored, end))
+
     def test_endpoints_that_turned_requests_away(self) -> None:
         cause = self.cause(
             line(1, "endpoint_away", endpoint="e1", away_ms=2_000),
--- a/tests/mastickeel_platform/gateway_case.py
+++ b/tests/mastickeel_platform/gateway_case.py
@@ -51,6 +51,8 @@
 PEERS = """
 [peers]
 listen = "127.0.0.1:0"
+[tunnels]
+listen = "127.0.0.1:0"
 """
 WAIT_POLLS = 400
 WAIT_POLL_S = 0.02
