--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -1,4 +1,4 @@
-"""Soak of gateways as processes before endpoints that limit, leave, turn away and crash.
+"""Soak of gateways as processes before endpoints that limit, leave, turn away, crash or are cut.
 
 Run by hand with more seeds and instances:
 ``python -m tests.mastickeel_platform.limit_soak --first 1 --seeds 50 --instances 9``.
@@ -66,6 +66,12 @@
 RESTART_MS = 1_000
 CRASHING_INTERVAL_MS = 250
 CRASHING_FOR_MS = (3_000, 9_000)
+MIN_SERVED_WHEN_CUT = 2 / 3
+MAX_FAILED_WHEN_CUT = 10
+MAX_FAILED_SHARE = 1 / 50
+"""Share of the other instances' rate at which instances that are cut off from all endpoints serve
+first tries, and the failures there that are allowed: a number and a share of all first tries."""
+CUT_FOR_MS = (4_000, 8_000)
 START_TIMEOUT_MS = 30_000
 REQUEST_TIMEOUT_MS = 8_000
 REQUEST_INTERVAL_MS = 150
@@ -138,6 +144,26 @@
     port: int = 0
     faults_ms: list[tuple[int, int]] = field(default_factory=list)
     """Spans in which the process was stopped, restarted or cut off."""
+    cut_file: Path = Path()
+    """File that cuts the process off from endpoints."""
+
+
+@dataclass(frozen=True)
+class Try:
+    """First try of a request without a crashing part."""
+
+    at_ms: int
+    instance: str
+    served: bool
+
+
+@dataclass(frozen=True)
+class Cut:
+    """Time in which some instances were cut off from all endpoints."""
+
+    begin_ms: int
+    end_ms: int
+    instances: frozenset[str]
 
 
 @dataclass
@@ -171,9 +197,12 @@
         self._outcomes: Counter[str] = Counter()
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
+        self._tries: list[Try] = []
+        self._cuts: list[Cut] = []
         self._crashes_ms_by_part: dict[str, list[int]] = defaultdict(list)
         self._ids_by_sender: dict[str, str] = {}
         self._refused_ids: set[str] = set()
+        self._served_ids: set[str] = set()
         self._ended = False
         self._tasks = TaskGroup()
 
@@ -250,6 +279,7 @@
         endpoint.is_leaving = endpoint.is_draining = False
         endpoint.server.crash()
         await self._clock.sleep(RESTART_MS)
+        endpoint.server.port = 0
         await endpoint.server.start()
         self._write_entry(endpoint)
 
@@ -257,13 +287,19 @@
         """Starts a gateway process and waits until it listens."""
         path = folder / f"{instance.id}.conf"
         text = SETTINGS.format(port=self._store.server.port).replace("edge-1", instance.id)
+        instance.cut_file = folder / f"{instance.id}.cut"
+        instance.cut_file.touch()
         path.write_text(text.replace('level = "error"', 'level = "info"') + PEERS)
         process = instance.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "mastickeel_platform",
+            "tests.mastickeel_platform.cut_gateway",
             "serve",
-            env={**os.environ, "MASTICKEEL_CONFIG": str(path)},
+            env={
+                **os.environ,
+                "MASTICKEEL_CONFIG": str(path),
+                "CUT_FILE": str(instance.cut_file),
+            },
             stdout=asyncio.subprocess.PIPE,
         )
         await self._clock.wait_for(self._read_port(instance), START_TIMEOUT_MS)
@@ -289,7 +325,8 @@
             number += 1
             await self._pause()
             request_id = self._name_request(instance, f"n{number}")
-            await self._exchange(instance, request_id, self._call(instance.port, request_id))
+            reply = self._call(instance.port, request_id)
+            await self._try(instance, request_id, reply)
 
     async def _call(self, port: int, request_id: str, parts: str = SOUND_PARTS) -> Reply:
         return await call(port, _prompt_bytes(request_id, parts))
@@ -309,7 +346,7 @@
                 await self._pause()
                 request_id = self._name_request(instance, f"k{number}")
                 writer.write(_prompt_bytes(request_id, SOUND_PARTS))
-                is_open = await self._exchange(instance, request_id, read_reply(reader))
+                is_open = await self._try(instance, request_id, read_reply(reader))
             writer.close()
 
     def _name_request(self, instance: Instance, number: str) -> str:
@@ -317,6 +354,15 @@
         self._ids_by_sender[request_id] = instance.id
         return request_id
 
+    async def _try(
+        self, instance: Instance, request_id: str, reply: Coroutine[object, object, Reply]
+    ) -> bool:
+        """Awaits a reply to a sound request; returns whether the connection can be used again."""
+        at_ms = self._clock.now()
+        is_open = await self._exchange(instance, request_id, reply)
+        self._tries.append(Try(at_ms, instance.id, request_id in self._served_ids))
+        return is_open
+
     async def _exchange(
         self, instance: Instance, request_id: str, reply: Coroutine[object, object, Reply]
     ) -> bool:
@@ -329,6 +375,8 @@
         is_part = got.status == 503 and b'"part_refused"' in got.body
         self._outcomes["part_refused" if is_part else str(got.status)] += 1
         self._outcomes["sound_refused"] += is_part and CRASHING_PREFIX not in request_id
+        if got.status == 200:
+            self._served_ids.add(request_id)
         if got.status in (401, 403, 404):
             self._violations.append(f"{request_id}: {got.status} though the route is there")
         if got.status == 503:
@@ -355,6 +403,7 @@
             "leave": self._replace_endpoint,
             "away": self._turn_away,
             "part": self._send_crashing_part,
+            "cut": self._cut_off,
         }
         for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
             endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
@@ -392,6 +441,24 @@
         await self._clock.sleep(self._rng.uniform(500, 3_000))
         endpoint.away_s = None
 
+    async def _cut_off(self) -> None:
+        """Cuts some instances, but not all, off from all endpoints."""
+        if any(cut.end_ms > self._clock.now() for cut in self._cuts):
+            return
+        count = self._rng.randint(1, len(self._instances) - 1)
+        instances = self._rng.sample(self._instances, count)
+        how = self._rng.choice(("hang", "refuse"))
+        end_ms = self._clock.now() + round(self._rng.uniform(*CUT_FOR_MS))
+        ids = frozenset(instance.id for instance in instances)
+        self._cuts.append(Cut(self._clock.now(), end_ms, ids))
+        while self._clock.now() < end_ms:
+            ports = " ".join(str(endpoint.server.port) for endpoint in self._endpoints)
+            for instance in instances:
+                instance.cut_file.write_text(f"{how} {ports}")
+            await self._clock.sleep(100)
+        for instance in instances:
+            instance.cut_file.write_text("")
+
     async def _send_crashing_part(self) -> None:
         """Sends requests with one part that crashes endpoints, no two alike, to any instance."""
         part = f"{CRASHING_PREFIX}{self._rng.getrandbits(32):08x}:10"
@@ -469,6 +536,10 @@
 
     async def _stop_all(self) -> None:
         for instance in self._instances:
+            if instance.process is not None and instance.process.returncode is not None:
+                self._violations.append(
+                    f"{instance.id} ended by itself with code {instance.process.returncode}"
+                )
             if instance.process is not None and instance.process.returncode is None:
                 instance.process.kill()
                 await instance.process.wait()
@@ -484,6 +555,8 @@
             arrival.request_id for one in self._endpoints for arrival in one.arrivals if arrival.ran
         }
         self._violations += [f"{one}: refused but run" for one in ran_ids & self._refused_ids]
+        for cut in self._cuts:
+            self._check_cut(cut)
         for part, crashes_ms in self._crashes_ms_by_part.items():
             self._check_part(part, sorted(crashes_ms))
         if self._outcomes["sound_refused"] > MAX_SOUND_REFUSED * self._outcomes["200"]:
@@ -494,6 +567,26 @@
             for statement in endpoint.statements:
                 self._check_statement(endpoint, statement)
 
+    def _check_cut(self, cut: Cut) -> None:
+        """Checks that instances which were cut off served nearly as many first tries as others."""
+        tries = [
+            one
+            for one in self._tries
+            if cut.begin_ms + CONTACT_MS <= one.at_ms <= cut.end_ms
+            and not self._has_fault(one.instance, one.at_ms)
+        ]
+        shares = []
+        for is_cut in (True, False):
+            served = [one.served for one in tries if (one.instance in cut.instances) == is_cut]
+            shares.append((sum(served), len(served)))
+        (cut_served, cut_tries), (served, other_tries) = shares
+        if not cut_tries or not other_tries:
+            return
+        share, other_share = cut_served / cut_tries, served / other_tries
+        allowed = MAX_FAILED_WHEN_CUT + MAX_FAILED_SHARE * len(tries)
+        if share < MIN_SERVED_WHEN_CUT * other_share and cut_tries - cut_served > allowed:
+            self._violations.append(f"{cut}: served {shares[0]} of first tries, others {shares[1]}")
+
     def _check_part(self, part: str, crashes_ms: list[int]) -> None:
         """Checks that the instances stop to send a part that has crashed endpoints."""
         if len(crashes_ms) < CRASHES_BEFORE:
@@ -551,10 +644,13 @@
 
     def _is_excused(self, arrival: Arrival) -> bool:
         """Returns whether the sender was under a fault, or just after it."""
-        instance = next(one for one in self._instances if one.id == arrival.sender)
+        return self._has_fault(arrival.sender, arrival.at_ms)
+
+    def _has_fault(self, instance_id: str, at_ms: int) -> bool:
+        """Returns whether an instance was under a fault, or just after it."""
+        instance = next(one for one in self._instances if one.id == instance_id)
         return any(
-            begin_ms <= arrival.at_ms <= end_ms + CONTACT_MS
-            for begin_ms, end_ms in instance.faults_ms
+            begin_ms <= at_ms <= end_ms + CONTACT_MS for begin_ms, end_ms in instance.faults_ms
         )
 
 
