Let the kernel find dead connections between instances; libzmq's heartbeats abort

Cause: a heartbeat that is due on a connection which the peer has reset, while reading was paused because the receive queue was full, fails an assertion of the library. Change: TCP keep-alive (2 s) and TCP_USER_TIMEOUT (6 s) instead, which drop a dead connection as early as the heartbeats did.

--- a/packages/mastickeel/src/mastickeel/peers.py
+++ b/packages/mastickeel/src/mastickeel/peers.py
@@ -34,8 +34,11 @@
 REPLY_TIMEOUT_MS = 1_000
 MAX_QUEUED_MESSAGES = 1_000
 """Messages queued for a peer that does not read; further messages are dropped and counted."""
-HEARTBEAT_INTERVAL_MS = 2_000
-HEARTBEAT_TIMEOUT_MS = 6_000
+KEEPALIVE_INTERVAL_S = 2
+"""Idle time before the kernel probes a connection, and the interval of its probes."""
+SILENCE_TIMEOUT_MS = 6_000
+"""Time without an acknowledgement after which the kernel drops a connection; as TCP_USER_TIMEOUT it
+also ends the probes, whatever their count."""
 MAX_IDLE_MS = 30_000
 KEY_SWITCH_TIMEOUT_MS = 2_000
 """With two keys, a peer that does not respond for this long is tried with the other key."""
@@ -281,8 +284,15 @@
         socket.setsockopt(zmq.SNDHWM, self._max_queued_messages)
         socket.setsockopt(zmq.RCVHWM, self._max_queued_messages)
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        # Not ZeroMQ's own heartbeats: libzmq 4.3.5 aborts the process when one is due on a
+        # connection that the peer has reset while the receive queue was full.
+        socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+        socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_INTERVAL_S)
+        socket.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+        socket.setsockopt(
+            zmq.TCP_KEEPALIVE_CNT, SILENCE_TIMEOUT_MS // 1_000 // KEEPALIVE_INTERVAL_S
+        )
+        socket.setsockopt(zmq.TCP_MAXRT, SILENCE_TIMEOUT_MS)
 
     def _send_to(self, peer_id: str, data: bytes, sent_id: int) -> None:
         """Queues an encoded message for a peer; drops the message when the peer has no address."""
