Track lost paths by endpoint, and take an instance for cut off only if a peer reaches more

Two endpoints that end at once look the same. An endpoint's path is lost now if a peer connects where this instance does not; all are lost if two fail and a peer reaches the next one. Probes bring back each endpoint for itself. Questions whether an endpoint has ended share an answer.

--- a/packages/mastickeel_router/src/mastickeel_router/breaker.py
+++ b/packages/mastickeel_router/src/mastickeel_router/breaker.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Collection
 
     from mastickeel.clock import Clock
 
@@ -105,9 +106,10 @@
                 pause_ms=breaker.open_ms,
             )
 
-    def reset(self) -> None:
-        """Closes all breakers: the failures were not those of the endpoints."""
-        self._breakers_by_id.clear()
+    def reset(self, endpoint_ids: Collection[str]) -> None:
+        """Closes the breakers of endpoints whose failures were those of the path to them."""
+        for endpoint_id in endpoint_ids:
+            self._breakers_by_id.pop(endpoint_id, None)
 
     def record_success(self, endpoint_id: str) -> None:
         """Resets the failure count, and removes the breaker once the ramp is complete."""
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -146,13 +146,25 @@
         """Rate limits that endpoints have named."""
         self.availability = EndpointAvailability(clock, self.rng)
         """What endpoints have said about taking further requests."""
-        self.path_monitor = PathMonitor()
-        """Whether this instance is cut off from the endpoints."""
-        self.path_monitor.on_change.append(self.loads.breakers.reset)
+        self.answer_memory = AnswerMemory(settings.memory.answer_bytes)
+        """Memory that the answers under way hold on this instance."""
+        self.stopping = False
+        """Whether a drain has begun."""
+        self.callers_port = 0
+        """Port of the callers' listener; 0 before the start."""
+        self.health_port = 0
+        """Port of the health check listener; 0 before the start."""
+        self.metrics_port = 0
+        """Port of the metrics listener; 0 before the start, or when there is none."""
+        self._tasks = TaskGroup()
+        self.path_monitor = PathMonitor(lambda: [one.id for one in self.registry.all()])
+        """Endpoints to which this instance has lost its path."""
+        self.path_monitor.on_lost.append(self.loads.breakers.reset)
         self.paths = EndpointPaths(
             self.http,
             clock=clock,
             rng=self.rng,
+            tasks=self._tasks,
             monitor=self.path_monitor,
             list_peers=self._list_tunnel_peers,
             list_endpoints=self.registry.all,
@@ -166,17 +178,6 @@
             accepts=self.availability.accepts,
         )
         """Tunnels to endpoints for peers that are cut off from them."""
-        self.answer_memory = AnswerMemory(settings.memory.answer_bytes)
-        """Memory that the answers under way hold on this instance."""
-        self.stopping = False
-        """Whether a drain has begun."""
-        self.callers_port = 0
-        """Port of the callers' listener; 0 before the start."""
-        self.health_port = 0
-        """Port of the health check listener; 0 before the start."""
-        self.metrics_port = 0
-        """Port of the metrics listener; 0 before the start, or when there is none."""
-        self._tasks = TaskGroup()
         self.metrics = GatewayMetrics()
         """Metrics of this instance."""
         deployment = make_deployment(self.http)
@@ -484,9 +485,9 @@
             lambda: len(self.crashing_parts.refused_parts),
         )
         metrics.add_gauge(
-            "path_lost",
-            "Whether this instance is cut off from the endpoints",
-            lambda: self.path_monitor.is_cut,
+            "paths_lost",
+            "Endpoints that this instance reaches only through other instances",
+            lambda: len(self.path_monitor.lost_ids),
         )
         metrics.add_gauge(
             "tunnels_open", "Tunnels open for other instances", lambda: self.tunnels.open_count
--- a/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
@@ -1,7 +1,8 @@
-"""Connects to endpoints, through a peer while this instance is cut off from them."""
+"""Connects to endpoints, through a peer where this instance has lost its own path."""
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,16 +17,22 @@
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
     from mastickeel.httpclient import HttpClient, HttpConnection
+    from mastickeel.tasks import TaskGroup
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.paths.monitor import PathMonitor
 
 MAX_PEERS_TRIED = 3
 """Peers that are tried for one connection."""
+MIN_WITNESSES = 2
+"""Peers that must fail to connect to an endpoint, if there are as many, before it is taken to be
+unreachable for all: one may be cut off itself."""
 AVOID_MS = 2_000
-"""Time for which a peer that opened no tunnel is tried last."""
+"""Time for which a peer that did not respond, or has too many tunnels, is tried last."""
 PROBE_INTERVAL_MS = 500
-"""Interval of probes while this instance is cut off; each one is a connection to an endpoint."""
+"""Interval of probes of endpoints to which the path is lost; each one is a connection."""
 PROBE_TIMEOUT_MS = 500
+VERIFY_INTERVAL_MS = 1_000
+"""Least time between two checks whether peers reach an endpoint that this instance does not."""
 NOTICE_INTERVAL_MS = 1_000
 """Interval at which an instance that is cut off says so again."""
 NOTICE_TTL_MS = 3 * NOTICE_INTERVAL_MS
@@ -38,7 +45,7 @@
 @message("path_state")
 @dataclass(frozen=True)
 class PathStateNotice:
-    """Notice that an instance is cut off from the endpoints, or no longer is."""
+    """Notice that an instance is cut off from all endpoints, or no longer is."""
 
     is_cut: bool
 
@@ -61,6 +68,7 @@
         *,
         clock: Clock,
         rng: random.Random,
+        tasks: TaskGroup,
         monitor: PathMonitor,
         list_peers: Callable[[], Mapping[str, TunnelPeer]],
         list_endpoints: Callable[[], Sequence[EndpointRecord]],
@@ -71,7 +79,8 @@
             client: Opens connections.
             clock: Times probes and notices.
             rng: Spreads tunnels over the peers.
-            monitor: Tracks whether this instance is cut off.
+            tasks: Runs checks in the background.
+            monitor: Tracks to which endpoints the path is lost.
             list_peers: Returns the peers that open tunnels, by id.
             list_endpoints: Returns the endpoints, for probes.
         """
@@ -82,69 +91,73 @@
         self._client = client
         self._clock = clock
         self._rng = rng
+        self._tasks = tasks
         self._monitor = monitor
         self._list_peers = list_peers
         self._list_endpoints = list_endpoints
         self._avoided_until_ms: dict[str, int] = {}
         self._cut_until_ms: dict[str, int] = {}
+        self._verified_ms_by_id: dict[str, int] = {}
+        self._verdicts_by_lifetime: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self._next_probe = 0
         self._notified_ms: int | None = None
-        monitor.on_change.append(self._notify)
+        monitor.on_cut.append(self._notify)
 
-    @property
-    def is_cut(self) -> bool:
-        """Whether this instance is taken to be cut off from the endpoints."""
-        return self._monitor.is_cut
+    def is_lost(self, endpoint_id: str) -> bool:
+        """Returns whether this instance has lost its path to an endpoint."""
+        return endpoint_id in self._monitor.lost_ids
 
     async def connect(self, endpoint: EndpointRecord, timeouts: Timeouts) -> HttpConnection:
-        """Opens a new connection to an endpoint, through a peer if this instance is cut off.
+        """Opens a new connection to an endpoint, through a peer if the own path is lost.
 
         Raises:
             ConnectionFailedError: When no connection could be made; nothing was sent.
         """
-        if not self._monitor.is_cut:
+        if not self.is_lost(endpoint.id):
             try:
                 return await self._connect_directly(endpoint, timeouts)
             except ConnectionFailedError:
-                if not self._monitor.is_cut:
+                if not self._monitor.may_be_cut:
+                    self._verify(endpoint)
                     raise
-        return await self._connect_through_peer(endpoint, timeouts)
+            connection = await self._connect_through_peer(endpoint, timeouts)
+            self._monitor.record_cut()
+            return connection
+        try:
+            return await self._connect_through_peer(endpoint, timeouts)
+        except TunnelRefusedError:
+            raise
+        except ConnectionFailedError:
+            # No peer helps, so that the own path may have been given up by mistake.
+            return await self._connect_directly(endpoint, timeouts)
 
     async def has_ended(self, endpoint: EndpointRecord) -> bool:
         """Returns whether an endpoint's process has ended: connections to it are refused.
 
-        A path that is lost may look the same, so that a peer has to see it too, if there is one.
+        A path that is lost may look the same, so that peers have to see it too, if there are any.
         """
-        timeouts = Timeouts(connect_ms=VERDICT_TIMEOUT_MS)
-        try:
-            (await self._connect_directly(endpoint, timeouts)).close()
-        except ConnectionFailedError as error:
-            if not error.refused:
-                return False
-        else:
-            return False
-        if not self._rank_peers():
-            return not self._monitor.is_cut
-        try:
-            (await self._connect_through_peer(endpoint, timeouts)).close()
-        except ConnectionFailedError as error:
-            return error.refused
-        return False
+        lifetime = (endpoint.id, endpoint.started_ms)
+        verdict = self._verdicts_by_lifetime.get(lifetime)
+        if verdict is None:
+            verdict = self._tasks.start(self._find_verdict(endpoint))
+            self._verdicts_by_lifetime[lifetime] = verdict
+            verdict.add_done_callback(lambda _: self._verdicts_by_lifetime.pop(lifetime, None))
+        return await asyncio.shield(verdict)
 
     def apply_notice(self, sender: str, notice: PathStateNotice) -> None:
-        """Records that a peer is cut off from the endpoints, or no longer is."""
+        """Records that a peer is cut off from all endpoints, or no longer is."""
         if notice.is_cut:
             self._cut_until_ms[sender] = self._clock.now() + NOTICE_TTL_MS
         else:
             self._cut_until_ms.pop(sender, None)
 
     async def run_probes(self) -> None:
-        """Probes endpoints while this instance is cut off, until cancelled."""
+        """Probes the endpoints to which the path is lost, until cancelled."""
         while True:
             await self._clock.sleep(PROBE_INTERVAL_MS)
-            if self._monitor.is_cut:
+            if self._monitor.lost_ids:
                 self._repeat_notice()
-                await self._probe_next()
+                await self._probe_lost()
 
     async def _connect_directly(
         self, endpoint: EndpointRecord, timeouts: Timeouts
@@ -156,7 +169,7 @@
         except ConnectionFailedError:
             self._monitor.record_failure(endpoint.id)
             raise
-        self._monitor.record_success()
+        self._monitor.record_success(endpoint.id)
         return connection
 
     async def _connect_through_peer(
@@ -165,25 +178,70 @@
         """Opens a connection through the first peer that can.
 
         Raises:
-            ConnectionFailedError: When no peer can, or a peer found that the endpoint cannot be
-                reached.
+            TunnelRefusedError: When enough peers found that the endpoint cannot be reached.
+            ConnectionFailedError: When no peer can, for another reason.
         """
-        for peer_id, peer in self._rank_peers()[:MAX_PEERS_TRIED]:
+        peers = self._rank_peers()[:MAX_PEERS_TRIED]
+        witnesses = min(MIN_WITNESSES, len(peers))
+        for peer_id, peer in peers:
             try:
                 connection = await self._client.connect(
                     endpoint.address, timeouts=timeouts, fresh=True, via=peer.address
                 )
             except TunnelRefusedError as error:
                 if error.reason in ENDPOINT_FAULTS:
-                    raise
-                self._avoid(peer_id)
+                    witnesses -= 1
+                    if not witnesses:
+                        raise
+                elif error.reason != "destination_unavailable":
+                    self._avoid(peer_id)
             except ConnectionFailedError:
                 self._avoid(peer_id)
             else:
                 connection.via = peer_id
                 self.tunnels_used += 1
                 return connection
-        raise ConnectionFailedError(f"Neither this instance nor a peer reaches {endpoint.id}.")
+        raise ConnectionFailedError(f"No peer reaches {endpoint.id}.")
+
+    async def _find_verdict(self, endpoint: EndpointRecord) -> bool:
+        """Returns whether this instance and its peers are refused by an endpoint."""
+        timeouts = Timeouts(connect_ms=VERDICT_TIMEOUT_MS)
+        try:
+            (await self._connect_directly(endpoint, timeouts)).close()
+        except ConnectionFailedError as error:
+            if not error.refused:
+                return False
+        else:
+            return False
+        if not self._list_peers():
+            return True
+        try:
+            (await self._connect_through_peer(endpoint, timeouts)).close()
+        except ConnectionFailedError as error:
+            return error.refused
+        self._monitor.record_lost([endpoint.id])
+        return False
+
+    def _verify(self, endpoint: EndpointRecord) -> None:
+        """Checks in the background whether peers reach an endpoint that this instance does not."""
+        now = self._clock.now()
+        recent = {
+            one: at for one, at in self._verified_ms_by_id.items() if now - at < VERIFY_INTERVAL_MS
+        }
+        if endpoint.id not in recent and self._rank_peers():
+            recent[endpoint.id] = now
+            self._tasks.start(self._find_path(endpoint))
+        self._verified_ms_by_id = recent
+
+    async def _find_path(self, endpoint: EndpointRecord) -> None:
+        """Records the path to an endpoint as lost if a peer reaches it."""
+        try:
+            timeouts = Timeouts(connect_ms=VERDICT_TIMEOUT_MS)
+            (await self._connect_through_peer(endpoint, timeouts)).close()
+        except ConnectionFailedError:
+            # The endpoint may have ended; the circuit breaker sees to it.
+            return
+        self._monitor.record_lost([endpoint.id])
 
     def _rank_peers(self) -> list[tuple[str, TunnelPeer]]:
         """Returns the peers that are not known to be cut off, in the order of their trial."""
@@ -204,25 +262,27 @@
         avoided = {peer: end_ms for peer, end_ms in self._avoided_until_ms.items() if end_ms > now}
         self._avoided_until_ms = {**avoided, peer_id: now + AVOID_MS}
 
-    async def _probe_next(self) -> None:
-        """Probes the next endpoint."""
-        endpoints = self._list_endpoints()
-        if not endpoints:
-            return
-        self._next_probe += 1
-        endpoint = endpoints[self._next_probe % len(endpoints)]
-        try:
-            connection = await self._client.connect(
-                endpoint.address, timeouts=Timeouts(connect_ms=PROBE_TIMEOUT_MS), fresh=True
-            )
-        except ConnectionFailedError:
-            self._monitor.record_probe(succeeded=False)
-        else:
+    async def _probe_lost(self) -> None:
+        """Probes endpoints to which the path is lost, one after the other until one fails."""
+        self._monitor.retain_listed()
+        lost = [one for one in self._list_endpoints() if self.is_lost(one.id)]
+        for _ in range(len(lost)):
+            self._next_probe += 1
+            endpoint = lost[self._next_probe % len(lost)]
+            try:
+                connection = await self._client.connect(
+                    endpoint.address, timeouts=Timeouts(connect_ms=PROBE_TIMEOUT_MS), fresh=True
+                )
+            except ConnectionFailedError:
+                return
             connection.close()
-            self._monitor.record_probe(succeeded=True)
+            self._monitor.record_success(endpoint.id)
 
     def _repeat_notice(self) -> None:
-        if self._notified_ms is None or self._clock.now() - self._notified_ms >= NOTICE_INTERVAL_MS:
+        is_due = (
+            self._notified_ms is None or self._clock.now() - self._notified_ms >= NOTICE_INTERVAL_MS
+        )
+        if self._monitor.is_cut and is_due:
             self._notify()
 
     def _notify(self) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
@@ -82,7 +82,7 @@
         Args:
             client: Opens the connections to endpoints.
             clock: Times the head of a request and silent tunnels.
-            monitor: Tells whether this instance is cut off itself.
+            monitor: Tells to which endpoints this instance has lost its own path.
             find_endpoint: Returns the endpoint at an address; None if none is listed there.
             accepts: Returns whether an endpoint wants requests from this instance.
         """
@@ -124,6 +124,8 @@
         self.open_count += 1
         try:
             await self._serve(stream)
+        except _RefusalError as error:
+            log(TUNNEL_FAILED, peer=str(address), reason=str(error))
         except (StreamClosedError, TimeoutError) as error:
             log(TUNNEL_FAILED, peer=str(address), reason=repr(error))
         finally:
@@ -132,17 +134,20 @@
             stream.close()
 
     async def _serve(self, stream: IOStream) -> None:
-        """Opens the requested tunnel and passes bytes on until either end closes."""
+        """Opens the requested tunnel and passes bytes on until either end closes.
+
+        Raises:
+            _RefusalError: When the tunnel was refused; the peer has been told.
+        """
         reading = stream.read_until(b"\r\n\r\n", max_bytes=MAX_HEAD_BYTES)
         head = await self._clock.wait_for(reading, HEAD_TIMEOUT_MS)
         try:
             upstream = await self._open_upstream(head)
         except _RefusalError as error:
             reason = str(error)
-            log(TUNNEL_FAILED, peer=str(stream.socket.getpeername()), reason=reason)
             await stream.write(_write_head(STATUS_BY_REASON[reason], reason))
             _set_reset_on_close(stream, enabled=False)
-            return
+            raise
         try:
             await stream.write(_write_head(200))
             await self._relay(stream, upstream)
@@ -164,17 +169,17 @@
             raise _RefusalError("destination_ip_prohibited")
         if self._stopping or self.open_count > MAX_TUNNELS:
             raise _RefusalError("connection_limit_reached")
-        if self._monitor.is_cut or not self._accepts(endpoint):
+        if endpoint.id in self._monitor.lost_ids or not self._accepts(endpoint):
             raise _RefusalError("destination_unavailable")
         try:
             upstream = await self._client.open_stream(endpoint.address, CONNECT_TIMEOUT_MS)
         except ConnectionFailedError as error:
             self._monitor.record_failure(endpoint.id)
-            if self._monitor.is_cut:
+            if endpoint.id in self._monitor.lost_ids:
                 raise _RefusalError("destination_unavailable") from error
             reason = "connection_refused" if error.refused else "connection_timeout"
             raise _RefusalError(reason) from error
-        self._monitor.record_success()
+        self._monitor.record_success(endpoint.id)
         assert isinstance(upstream, ObservedStream)
         return upstream
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -75,6 +75,8 @@
     """How the answer ended; None when no head arrived."""
     via: str = ""
     """Id of the instance through which the request was sent; empty for none."""
+    path_lost: bool = False
+    """Whether no connection was made for want of a path, which says nothing of the endpoint."""
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -390,10 +390,9 @@
         breakers = self._context.loads.breakers
         if result.outcome is SendOutcome.WHOLE:
             breakers.record_success(endpoint.id)
-        elif result.outcome is SendOutcome.UNREACHED and self._context.paths.is_cut:
-            # The failure says nothing of the endpoint.
-            pass
-        elif result.outcome is SendOutcome.BROKEN or is_endpoint_absent(result):
+        elif not result.path_lost and (
+            result.outcome is SendOutcome.BROKEN or is_endpoint_absent(result)
+        ):
             breakers.record_failure(endpoint.id, unreachable=is_endpoint_absent(result))
         pace_ms = self._pace_ms(result, start_ms)
         self._context.on_send(
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -13,6 +13,7 @@
     ExchangeBrokenError,
     ForeignAnswerError,
     Timeouts,
+    TunnelRefusedError,
 )
 from mastickeel_router.relay.policy import AnswerEnd, SendOutcome, SendResult, classify_answer
 from mastickeel_router.routes import RouteKind
@@ -104,7 +105,11 @@
     try:
         connection = await paths.connect(endpoint, timeouts)
     except ConnectionFailedError as error:
-        return SendResult(SendOutcome.UNREACHED, reason=f"{error.code}: {error.detail}")
+        return SendResult(
+            SendOutcome.UNREACHED,
+            reason=f"{error.code}: {error.detail}",
+            path_lost=paths.is_lost(endpoint.id) and not isinstance(error, TunnelRefusedError),
+        )
     if not may_send():
         connection.close()
         return SendResult(SendOutcome.WITHHELD, reason="the endpoint wants no request now")
