--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -194,7 +194,8 @@
         return f"Every endpoint had turned requests away: {_describe_away(state)}."
     path = state.newest("path")
     if code == "unavailable" and path is not None and path["event"] == "path_lost":
-        return f"Cut off from the endpoints since {path['timestamp']}, and no peer could help."
+        lost = f"Paths to {path.get('lost')} endpoints were lost at {path['timestamp']}"
+        return f"{lost}, and no peer could help."
     if sends:
         return f"{code}: {_describe_sends(sends, state)}"
     if code == "deadline":
