Bound how many requests brittle endpoints have to turn away, over the whole fleet

The users' page has endpoints that fall over when they turn more than N requests a second away for want of room, and say so in all answers. Nothing read that. One instance counts the fleet's sends to an endpoint: those that may still be refused and the refusals of the last 1.1 s are N together at most, whatever the endpoint's room. Limits and this number share their tracking (LimitKind).

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -25,6 +25,8 @@
     "endpoint_trusted": ("breaker", "endpoint"),
     "endpoint_limited": ("limit", "endpoint"),
     "endpoint_limit_lifted": ("limit", "endpoint"),
+    "endpoint_brittle": ("brittle", "endpoint"),
+    "endpoint_brittle_lifted": ("brittle", "endpoint"),
     "endpoint_leaving": ("leaving", "endpoint"),
     "endpoint_away": ("away", "endpoint"),
     "release_plan": ("release", "service"),
@@ -190,6 +192,8 @@
         return f"{end.get('detail', '')} {_describe_parts(str(end.get('detail', '')), state)}"
     if code == "endpoints_limited":
         return f"Every endpoint's rate limit was used up: {_describe_limits(state)}."
+    if code == "endpoints_brittle":
+        return f"Every endpoint could be full and was brittle: {_describe_brittle(state)}."
     if code == "endpoints_away":
         return f"Every endpoint had turned requests away: {_describe_away(state)}."
     path = state.newest("path")
@@ -279,6 +283,17 @@
     return "; ".join(limits) or "none logged here"
 
 
+def _describe_brittle(state: InstanceState) -> str:
+    """Lists the endpoints that are brittle, with the refusals that they bear."""
+    brittle = [
+        f"{record['endpoint']} bears {record['per_second']} refusals a second"
+        f" since {record['timestamp']}"
+        for record in state.newest_of_kind("brittle")
+        if record["event"] == "endpoint_brittle"
+    ]
+    return "; ".join(brittle) or "none logged here"
+
+
 def _describe_away(state: InstanceState) -> str:
     """Lists the endpoints that have turned requests away for a time."""
     away = [
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/__init__.py
@@ -3,6 +3,7 @@
 from mastickeel_router.fleet.broadcast import Broadcast, PeerTraits
 from mastickeel_router.fleet.instances import InstanceDirectory
 from mastickeel_router.fleet.sharing import (
+    serve_admissions,
     serve_permits,
     share_crashes,
     share_era,
@@ -19,6 +20,7 @@
     "Broadcast",
     "InstanceDirectory",
     "PeerTraits",
+    "serve_admissions",
     "serve_permits",
     "share_crashes",
     "share_era",
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/sharing.py
@@ -15,7 +15,14 @@
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.parts import PartCrashReport, PartSuccessNotice
 from mastickeel_router.quarantine.reports import ContentCrashReport, ContentSuccessNotice
-from mastickeel_router.ratelimits import EndpointLimitNotice, PermitReply, PermitRequest
+from mastickeel_router.ratelimits import (
+    AdmissionOutcome,
+    AdmissionReply,
+    AdmissionRequest,
+    EndpointLimitNotice,
+    PermitReply,
+    PermitRequest,
+)
 from mastickeel_router.releases import EvidenceReport
 
 if TYPE_CHECKING:
@@ -29,7 +36,7 @@
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.parts import PartSuspicions
     from mastickeel_router.quarantine.reports import CrashReports
-    from mastickeel_router.ratelimits import EndpointLimits, PermitIssuer
+    from mastickeel_router.ratelimits import AdmissionCounter, EndpointLimits, PermitIssuer
     from mastickeel_router.releases import Releases, SessionVersions
 
 
@@ -134,7 +141,7 @@
             limits.apply_notice(notice)
 
     limits.on_notice.append(broadcast.publish)
-    broadcast.register_handler(EndpointLimitNotice, apply)
+    broadcast.register_handler(limits.notice_type, apply)
 
 
 def share_leaving(
@@ -174,3 +181,16 @@
         return issuer.issue(request)
 
     link.register_handler(PermitRequest, issue)
+
+
+def serve_admissions(link: PeerLink, counter: AdmissionCounter) -> None:
+    """Answers the peers' requests for admissions and records what became of their sends."""
+
+    async def admit(sender: str, request: AdmissionRequest) -> AdmissionReply:
+        return counter.admit(request)
+
+    async def settle(sender: str, outcome: AdmissionOutcome) -> None:
+        counter.settle(outcome)
+
+    link.register_handler(AdmissionRequest, admit)
+    link.register_handler(AdmissionOutcome, settle)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -26,6 +26,7 @@
     Broadcast,
     InstanceDirectory,
     PeerTraits,
+    serve_admissions,
     serve_permits,
     share_crashes,
     share_era,
@@ -46,7 +47,14 @@
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.quarantine.parts import PartSuspicions
 from mastickeel_router.quarantine.reports import CrashReports
-from mastickeel_router.ratelimits import EndpointLimits, PermitIssuer, SendPermits
+from mastickeel_router.ratelimits import (
+    AdmissionCounter,
+    EndpointLimits,
+    PermitIssuer,
+    SendAdmissions,
+    SendPermits,
+)
+from mastickeel_router.ratelimits.limits import REFUSAL_TOLERANCE
 from mastickeel_router.relay import CallerListener, Dispatcher
 from mastickeel_router.relay.budget import RetryBudget
 from mastickeel_router.relay.context import Context
@@ -144,6 +152,10 @@
         """Parts of prompts that are suspected of crashing endpoints."""
         self.limits = EndpointLimits(clock)
         """Rate limits that endpoints have named."""
+        self.tolerances = EndpointLimits(clock, REFUSAL_TOLERANCE)
+        """Refusals a second that brittle endpoints have said they bear."""
+        self.admission_counter = AdmissionCounter(clock)
+        """Counts the fleet's sends to the brittle endpoints that this instance counts."""
         self.availability = EndpointAvailability(clock, self.rng)
         """What endpoints have said about taking further requests."""
         self.answer_memory = AnswerMemory(settings.memory.answer_bytes)
@@ -214,8 +226,18 @@
             list_peers=self._list_recent_peers,
         )
         """Permits to send requests to limited endpoints."""
+        self.admissions = SendAdmissions(
+            clock,
+            self.tolerances,
+            self.admission_counter,
+            instance_id=settings.instance.id,
+            link=self._link,
+            list_peers=self._list_recent_peers,
+        )
+        """Admissions of sends to brittle endpoints."""
         self.registry.on_lifetime_end.append(self.loads.reset_endpoint)
         self.registry.on_lifetime_end.append(self.permits.reset_endpoint)
+        self.registry.on_lifetime_end.append(self.admissions.reset_endpoint)
         self.table.on_change.append(
             lambda configuration: self._listener.apply_limits(configuration.limits)
         )
@@ -409,12 +431,18 @@
         share_limits(
             broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
         )
+        share_limits(
+            broadcast,
+            self.tolerances,
+            lambda endpoint_id: self.registry.get(endpoint_id) is not None,
+        )
         share_leaving(
             broadcast,
             self.availability,
             lambda endpoint_id: self.registry.get(endpoint_id) is not None,
         )
         serve_permits(link, self.permit_issuer)
+        serve_admissions(link, self.admission_counter)
         return link, instances
 
     def _make_context(self) -> Context:
@@ -431,6 +459,8 @@
             crashing_parts=self.crashing_parts,
             limits=self.limits,
             availability=self.availability,
+            tolerances=self.tolerances,
+            admissions=self.admissions,
             permits=self.permits,
             answer_memory=self.answer_memory,
             tasks=self._tasks,
@@ -497,6 +527,11 @@
             "Connections made through other instances since the start",
             lambda: self.paths.tunnels_used,
         )
+        metrics.add_gauge(
+            "endpoints_brittle",
+            "Endpoints that fall over when they turn too many requests away",
+            lambda: sum(map(self.admissions.is_brittle, self.registry.all())),
+        )
         metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
         metrics.add_gauge(
             "routes_version",
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/__init__.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/__init__.py
@@ -1,14 +1,28 @@
 """Rate limits: the requests a second that an endpoint accepts from the whole fleet."""
 
+from mastickeel_router.ratelimits.admissions import (
+    Admission,
+    AdmissionCounter,
+    AdmissionOutcome,
+    AdmissionReply,
+    AdmissionRequest,
+    SendAdmissions,
+)
 from mastickeel_router.ratelimits.issuer import PermitIssuer, PermitReply, PermitRequest
 from mastickeel_router.ratelimits.limits import EndpointLimitNotice, EndpointLimits
 from mastickeel_router.ratelimits.permits import SendPermits
 
 __all__ = [
+    "Admission",
+    "AdmissionCounter",
+    "AdmissionOutcome",
+    "AdmissionReply",
+    "AdmissionRequest",
     "EndpointLimitNotice",
     "EndpointLimits",
     "PermitIssuer",
     "PermitReply",
     "PermitRequest",
+    "SendAdmissions",
     "SendPermits",
 ]
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from mastickeel.clock import Clock
+    from mastickeel.events import Event
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.types import AnswerHead
 
@@ -35,6 +36,17 @@
 )
 
 
+BRITTLE_NAMED = define_event(
+    2400,
+    "endpoint_brittle",
+    "warning",
+    "An endpoint falls over when it has to turn more requests a second away than this.",
+)
+BRITTLE_LIFTED = define_event(
+    2401, "endpoint_brittle_lifted", "info", "An endpoint no longer says that it is brittle."
+)
+
+
 @message("endpoint_limit")
 @dataclass(frozen=True)
 class EndpointLimitNotice:
@@ -47,6 +59,31 @@
     """Requests a second from all instances; None when the limit is lifted."""
 
 
+@message("endpoint_brittle")
+@dataclass(frozen=True)
+class EndpointBrittleNotice(EndpointLimitNotice):
+    """Notification to peers that an endpoint bears few refusals a second, or no longer says so."""
+
+
+@dataclass(frozen=True)
+class LimitKind:
+    """A kind of number that endpoints name in all their answers while it holds."""
+
+    read: Callable[[AnswerHead], float | None]
+    """Returns the number that an answer names; None for none."""
+    notice_type: type[EndpointLimitNotice]
+    named: Event
+    """Logged when an endpoint names another number than before."""
+    lifted: Event
+    """Logged when an endpoint names none any more."""
+
+
+RATE_LIMIT = LimitKind(lambda head: head.rate_limit, EndpointLimitNotice, LIMIT_NAMED, LIMIT_LIFTED)
+REFUSAL_TOLERANCE = LimitKind(
+    lambda head: head.refusal_tolerance, EndpointBrittleNotice, BRITTLE_NAMED, BRITTLE_LIFTED
+)
+
+
 @dataclass(frozen=True)
 class _Limit:
     """Newest limit of one endpoint."""
@@ -64,17 +101,24 @@
 class EndpointLimits:
     """The rate limits in force, by endpoint."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, kind: LimitKind = RATE_LIMIT) -> None:
         """Creates the tracker without limits.
 
         Args:
             clock: Times the observations.
+            kind: Number that is tracked.
         """
         self.on_notice: list[Callable[[EndpointLimitNotice], None]] = []
         """Callbacks for limits that an answer to this instance has named or lifted."""
         self._clock = clock
+        self._kind = kind
         self._limits_by_id: OrderedDict[str, _Limit] = OrderedDict()
 
+    @property
+    def notice_type(self) -> type[EndpointLimitNotice]:
+        """Type of the notices about these limits."""
+        return self._kind.notice_type
+
     def limit_of(self, endpoint: EndpointRecord) -> float | None:
         """Returns the requests a second that an endpoint accepts; None without a limit."""
         return self.find(endpoint.id, endpoint.started_ms)
@@ -99,8 +143,9 @@
         if head.status == 421:
             # Another endpoint has answered at this address.
             return
-        if head.rate_limit is not None:
-            self._record_named(endpoint.id, endpoint.started_ms, head.rate_limit, notify=True)
+        number = self._kind.read(head)
+        if number is not None:
+            self._record_named(endpoint.id, endpoint.started_ms, number, notify=True)
             return
         limit = self._limits_by_id.get(endpoint.id)
         # The answer to a request that was sent before the limit was named may be older than it.
@@ -127,7 +172,7 @@
             or (known.per_second, known.started_ms) != (per_second, started_ms)
         )
         if changed:
-            log(LIMIT_NAMED, endpoint=endpoint_id, per_second=per_second, own=notify)
+            log(self._kind.named, endpoint=endpoint_id, per_second=per_second, own=notify)
         notified_ms = now if known is None or changed else known.notified_ms
         notify = notify and (changed or now - notified_ms >= RENOTIFY_INTERVAL_MS)
         self._limits_by_id[endpoint_id] = _Limit(
@@ -137,7 +182,7 @@
         if len(self._limits_by_id) > MAX_LIMITS:
             self._limits_by_id.popitem(last=False)
         if notify:
-            self._notify(EndpointLimitNotice(endpoint_id, started_ms, per_second))
+            self._notify(self._kind.notice_type(endpoint_id, started_ms, per_second))
 
     def _lift(self, endpoint_id: str, started_ms: int, *, notify: bool) -> None:
         limit = self._limits_by_id.get(endpoint_id)
@@ -145,9 +190,9 @@
             return
         lifts_ms = limit.named_ms + LIFT_HOLD_MS
         self._limits_by_id[endpoint_id] = replace(limit, lifts_ms=lifts_ms)
-        log(LIMIT_LIFTED, endpoint=endpoint_id, per_second=limit.per_second, own=notify)
+        log(self._kind.lifted, endpoint=endpoint_id, per_second=limit.per_second, own=notify)
         if notify:
-            self._notify(EndpointLimitNotice(endpoint_id, started_ms, None))
+            self._notify(self._kind.notice_type(endpoint_id, started_ms, None))
 
     def _notify(self, notice: EndpointLimitNotice) -> None:
         for callback in self.on_notice:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -19,7 +19,7 @@
     from mastickeel_router.placement import EndpointLoads
     from mastickeel_router.quarantine.parts import PartSuspicions
     from mastickeel_router.quarantine.reports import CrashReports
-    from mastickeel_router.ratelimits import EndpointLimits, SendPermits
+    from mastickeel_router.ratelimits import EndpointLimits, SendAdmissions, SendPermits
     from mastickeel_router.relay.budget import RetryBudget
     from mastickeel_router.relay.memory import AnswerMemory
     from mastickeel_router.relay.policy import SendResult
@@ -123,6 +123,10 @@
     """Rate limits that endpoints have named."""
     availability: EndpointAvailability
     """What endpoints have said about taking further requests."""
+    tolerances: EndpointLimits
+    """Refusals a second that brittle endpoints have said they bear."""
+    admissions: SendAdmissions
+    """Admissions of sends to brittle endpoints."""
     permits: SendPermits
     """Permits to send requests to endpoints with a rate limit."""
     answer_memory: AnswerMemory
--- a/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
@@ -11,12 +11,16 @@
 
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.placement import Demand
+    from mastickeel_router.ratelimits import Admission
     from mastickeel_router.relay.context import Context
 
 MAX_PERMIT_REQUESTS = 3
 """Maximum number of limited endpoints whose permit is requested before an endpoint without a limit
 is preferred: each request is a round trip to another instance."""
 
+BRITTLE_RETRY_MS = 500
+"""Least retry time sent to callers while all endpoints are brittle and may be full."""
+
 
 class NoEndpointError(UnavailableError):
     """Raised when no endpoint of a service is known."""
@@ -36,6 +40,13 @@
     title = "The service's endpoints have turned requests away for a time."
 
 
+class EndpointsBrittleError(UnavailableError):
+    """Raised when every endpoint is brittle and may not be sent another request in time."""
+
+    code = "endpoints_brittle"
+    title = "The service's endpoints cannot turn away more requests without failing."
+
+
 class Placer:
     """Places the sends of one request."""
 
@@ -57,6 +68,7 @@
         """
         self.candidate_count = 0
         """Number of endpoints that were candidates for the last send."""
+        self._admission: Admission | None = None
         self._context = context
         self._service = service
         self._list_endpoints = list_endpoints
@@ -75,9 +87,11 @@
             NoEndpointError: When no endpoint is known.
             EndpointsAwayError: When all endpoints have turned requests away for too long.
             EndpointsLimitedError: When the limits of all endpoints are used up for too long.
+            EndpointsBrittleError: When no endpoint may be sent a request that it might refuse.
         """
         context = self._context
         denied_ids: set[str] = set()
+        waits_ms: list[int] = []
         until_ms = context.clock.now() + time_left_ms
         while True:
             known = self._list_endpoints()
@@ -91,21 +105,42 @@
                 continue
             open_records = self._list_open(records, denied_ids)
             endpoint = context.loads.choose(self._prefer_untried(open_records), demand, model)
+            if endpoint is None and waits_ms:
+                await self._wait_for_admission(min(waits_ms), time_left_ms)
+                denied_ids.clear()
+                waits_ms.clear()
+                continue
             if endpoint is None:
                 endpoint = await self._wait_for_limited(records, demand, model, time_left_ms)
-            elif context.limits.limit_of(endpoint) is None:
-                return endpoint
-            elif not (await context.permits.acquire(endpoint)).granted:
+            elif (
+                context.limits.limit_of(endpoint) is not None
+                and not (await context.permits.acquire(endpoint)).granted
+            ):
                 denied_ids.add(endpoint.id)
                 continue
+            if context.admissions.is_brittle(endpoint):
+                self._admission, wait_ms = await context.admissions.acquire(endpoint)
+                if self._admission is None:
+                    denied_ids.add(endpoint.id)
+                    waits_ms.append(wait_ms)
+                    continue
             if self._is_selectable(endpoint):
                 return endpoint
+            if admission := self.take_admission():
+                context.admissions.settle(admission, refused=False)
+
+    def take_admission(self) -> Admission | None:
+        """Returns the admission of the last placed send once; None if it needed none."""
+        admission, self._admission = self._admission, None
+        return admission
 
     def has_unlimited(self) -> bool:
         """Returns whether an endpoint without a rate limit may serve the request now."""
         limits, availability = self._context.limits, self._context.availability
         return any(
-            limits.limit_of(record) is None and not availability.wait_ms(record)
+            limits.limit_of(record) is None
+            and not self._context.admissions.is_brittle(record)
+            and not availability.wait_ms(record)
             for record in self._list_endpoints()
         )
 
@@ -123,7 +158,11 @@
         """Returns the endpoints that may accept a request at once."""
         context = self._context
         if len(denied_ids) >= MAX_PERMIT_REQUESTS:
-            return [record for record in records if context.limits.limit_of(record) is None]
+            return [
+                record
+                for record in records
+                if record.id not in denied_ids and context.limits.limit_of(record) is None
+            ]
         return [
             record
             for record in records
@@ -153,6 +192,19 @@
             )
         await context.clock.sleep(wait_ms)
 
+    async def _wait_for_admission(self, wait_ms: int, time_left_ms: float) -> None:
+        """Waits until a brittle endpoint may be sent another request.
+
+        Raises:
+            EndpointsBrittleError: When that is after `time_left_ms`.
+        """
+        if wait_ms > time_left_ms:
+            raise EndpointsBrittleError(
+                f"The endpoints of {self._service} are brittle and may be full.",
+                retry_after_ms=max(wait_ms, BRITTLE_RETRY_MS),
+            )
+        await self._context.clock.sleep(wait_ms)
+
     async def _wait_for_limited(
         self,
         records: Sequence[EndpointRecord],
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -10,6 +10,7 @@
 
 from mastickeel.errors import EndpointError, ExecutionStatus, MastickeelError, UnavailableError
 from mastickeel_router.quarantine.reports import ContentRefusedError
+from mastickeel_router.relay.admission import AdmittedSend
 from mastickeel_router.relay.cascade import Cascade
 from mastickeel_router.relay.context import (
     REQUEST_FAILED,
@@ -263,6 +264,7 @@
         start_ms = self._sent_ms = context.clock.now()
         self._events_before = progress.last_event or 0
         self._first_event_at_ms = None
+        admitted = AdmittedSend(context, self._placer.take_admission())
         http_request = context.dialect.write_send(self._build_send(endpoint))
         self._release_answer()
         answer = AnswerCollector(
@@ -274,7 +276,7 @@
             responder=self._responder,
             progress=progress,
             accept_head=self._accept_answer,
-            observe_head=lambda head: self._observe_head(endpoint, head, start_ms),
+            observe_head=lambda head: self._observe_head(endpoint, head, start_ms, admitted),
         )
         self._release_answer = answer.release
         demand = self._cascade.demand
@@ -299,7 +301,7 @@
                 answer,
                 route=self._route,
                 remaining_ms=self._remaining_ms,
-                may_send=lambda: context.availability.accepts(endpoint),
+                may_send=lambda: self._may_send(endpoint, admitted),
             )
             if result.via and result.head is not None:
                 context.on_tunnelled_head(endpoint, result.head, result.via)
@@ -307,6 +309,7 @@
             context.on_send_abandoned(send)
             raise
         finally:
+            admitted.record_end()
             context.open_sends.discard(send)
             context.loads.record_end(endpoint.id)
             self._log.pace_ms = self._stream_pace_ms()
@@ -322,8 +325,19 @@
         self._record_result(send, result, start_ms)
         return result
 
-    def _observe_head(self, endpoint: EndpointRecord, head: AnswerHead, start_ms: int) -> None:
+    def _may_send(self, endpoint: EndpointRecord, admitted: AdmittedSend) -> bool:
+        """Returns whether an endpoint still wants the request, which is sent at once then."""
+        if not self._context.availability.accepts(endpoint):
+            return False
+        admitted.record_start()
+        return True
+
+    def _observe_head(
+        self, endpoint: EndpointRecord, head: AnswerHead, start_ms: int, admitted: AdmittedSend
+    ) -> None:
         """Records what the head of an answer says about its endpoint."""
+        admitted.record_head(head)
+        self._context.tolerances.record_answer(endpoint, head, start_ms)
         self._context.limits.record_answer(endpoint, head, start_ms)
         self._context.availability.record_answer(endpoint, head)
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -120,6 +120,9 @@
     """Confidence of the model in its answer, 0 to 100; None when not reported."""
     rate_limit: float | None = None
     """Requests a second that the endpoint accepts from all instances; None when it names none."""
+    refusal_tolerance: float | None = None
+    """Requests a second that the endpoint bears to turn away from all instances; None when it does
+    not say."""
     leaving: bool = False
     """Whether the endpoint says that it is about to leave."""
     away_ms: int | None = None
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -78,6 +78,16 @@
         self.assertIn("crashed: e1/1, e2/1", cause)
         self.assertNotIn("e3", cause)
 
+    def test_endpoints_that_are_brittle(self) -> None:
+        cause = self.cause(
+            line(1, "endpoint_brittle", endpoint="e1", per_second=2.0),
+            line(2, "endpoint_brittle", endpoint="e2", per_second=2.0),
+            line(3, "endpoint_brittle_lifted", endpoint="e2"),
+            request_end(4, "refused", code="endpoints_brittle"),
+        )
+        self.assertIn("e1 bears 2.0 refusals a second since 2026-09-20T22:07:01", cause)
+        self.assertNotIn("e2", cause)
+
     def test_instance_that_is_cut_off(self) -> None:
         lost = line(1, "path_lost", endpoints=["e1", "e2"], lost=2)
         end = request_end(3, "refused", code="unavailable")
--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -18,7 +18,7 @@
 import tempfile
 import zlib
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -62,6 +62,13 @@
 """Crashes of a part after which, CONTACT_MS later, requests with it count, and the most of them."""
 MAX_SOUND_REFUSED = 0.05
 """Largest share of requests without a crashing part that may be refused for their parts."""
+FALLS_ALLOWED = 2
+FALLS_SHARE = 0.1
+"""Falls that are allowed in one time in which endpoints are brittle: a number and a share of the
+endpoints."""
+TOLERANCES = (1, 2)
+BRITTLE_ROOM = 2
+BRITTLE_FOR_MS = (5_000, 9_000)
 CRASH_AFTER_MS = (20, 120)
 RESTART_MS = 1_000
 CRASHING_INTERVAL_MS = 250
@@ -127,6 +134,11 @@
     periods: list[tuple[float, int, int]] = field(default_factory=list)
     """Limits that are over: requests a second, and the times of the first and last answer."""
     arrivals: list[Arrival] = field(default_factory=list)
+    tolerance: int | None = None
+    """Refusals a second that the endpoint bears; None while it is not brittle."""
+    running: int = 0
+    refusals: list[Arrival] = field(default_factory=list)
+    """Requests that were turned away for want of room while it was brittle."""
 
     def set_limit(self, limit: float | None, now_ms: int) -> None:
         """Ends the present limit and begins another."""
@@ -250,18 +262,27 @@
         middle = request.headers.get("prompt-prefix", "").split(",")[1:2]
         part = middle[0] if middle and middle[0].startswith(CRASHING_PREFIX) else ""
         endpoint.arrivals.append(Arrival(now, sender, request.id, born, away_s is None, part))
-        if part and away_s is None:
+        if part and away_s is None and endpoint.tolerance is None:
             await self._clock.sleep(self._rng.uniform(*CRASH_AFTER_MS))
             if endpoint.born == born:
                 self._crashes_ms_by_part[part].append(self._clock.now())
                 self._tasks.start(self._crash(endpoint))
             return
         fields = []
-        if away_s is not None:
+        if endpoint.tolerance is not None:
+            fields.append(f"Server-Brittle: {endpoint.tolerance}")
+        has_room = endpoint.tolerance is None or endpoint.running < BRITTLE_ROOM
+        if not has_room:
+            endpoint.refusals.append(endpoint.arrivals[-1])
+            fields.append("Not-Executed: 1")
+            endpoint.arrivals[-1] = replace(endpoint.arrivals[-1], ran=False)
+        elif away_s is not None:
             fields += ["Not-Executed: 1", f"Retry-After: {away_s}"]
             endpoint.statements.append(Statement(now, sender, born, away_s * 1_000))
         else:
+            endpoint.running += 1
             await self._clock.sleep(self._rng.uniform(*WORK_MS))
+            endpoint.running -= 1
         if endpoint.is_leaving and endpoint.born == born:
             fields.append("Server-Leaving: 1")
             endpoint.statements.append(Statement(self._clock.now(), sender, born))
@@ -269,7 +290,7 @@
             fields.append(f"Server-Limit: {endpoint.limit}")
             if endpoint.named_since_ms is None:
                 endpoint.named_since_ms = self._clock.now()
-        status = "200 OK" if away_s is None else "503 Busy"
+        status = "200 OK" if has_room and away_s is None else "503 Busy"
         writer.write(answer_bytes(request, status=status, extra="\r\n".join(fields)))
 
     async def _crash(self, endpoint: LimitedEndpoint) -> None:
@@ -404,6 +425,7 @@
             "away": self._turn_away,
             "part": self._send_crashing_part,
             "cut": self._cut_off,
+            "brittle": self._be_brittle,
         }
         for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
             endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
@@ -441,6 +463,32 @@
         await self._clock.sleep(self._rng.uniform(500, 3_000))
         endpoint.away_s = None
 
+    async def _be_brittle(self) -> None:
+        """Lets all endpoints say that they are brittle for a time; checks how often they fall."""
+        if any(endpoint.tolerance is not None for endpoint in self._endpoints):
+            return
+        tolerance = self._rng.choice(TOLERANCES)
+        begin_ms = self._clock.now()
+        for endpoint in self._endpoints:
+            endpoint.tolerance = tolerance
+            endpoint.refusals.clear()
+        await self._clock.sleep(self._rng.uniform(*BRITTLE_FOR_MS))
+        falls = 0
+        for endpoint in self._endpoints:
+            endpoint.tolerance = None
+            times_ms = [
+                one.at_ms
+                for one in endpoint.refusals
+                if one.at_ms >= begin_ms + CONTACT_MS and not self._is_excused(one)
+            ]
+            falls += sum(
+                last - first < 1_000
+                for first, last in zip(times_ms, times_ms[tolerance:], strict=False)
+            )
+        self._outcomes["brittle_refusals"] += sum(len(one.refusals) for one in self._endpoints)
+        if falls > FALLS_ALLOWED + FALLS_SHARE * len(self._endpoints):
+            self._violations.append(f"{falls} falls since {begin_ms}, tolerance {tolerance}")
+
     async def _cut_off(self) -> None:
         """Cuts some instances, but not all, off from all endpoints."""
         if any(cut.end_ms > self._clock.now() for cut in self._cuts):
--- a/tests/mastickeel_router/relay/test_placing.py
+++ b/tests/mastickeel_router/relay/test_placing.py
@@ -56,6 +56,7 @@
             loads=self.loads,
             limits=self.limits,
             permits=permits,
+            admissions=SimpleNamespace(is_brittle=lambda endpoint: False),
             availability=self.availability,
         )
         self.records = list(RECORDS)
