--- a/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mastickeel.events import define_event
 from mastickeel.httpmessages import ConnectionFailedError, Timeouts, TunnelRefusedError
+from mastickeel.logs import log
 from mastickeel.peers import message
 from mastickeel_router.paths.tunnels import ENDPOINT_FAULTS
 
@@ -41,6 +43,13 @@
 """Timeout of a connection that shows whether an endpoint has ended: allows for one packet
 retransmission."""
 
+NO_PATH = define_event(
+    2403,
+    "no_path",
+    "info",
+    "Neither this instance nor a peer connects to an endpoint, which may have ended.",
+)
+
 
 @message("path_state")
 @dataclass(frozen=True)
@@ -193,7 +202,7 @@
                     witnesses -= 1
                     if not witnesses:
                         raise
-                elif error.reason != "destination_unavailable":
+                elif error.reason == "connection_limit_reached":
                     self._avoid(peer_id)
             except ConnectionFailedError:
                 self._avoid(peer_id)
@@ -238,8 +247,8 @@
         try:
             timeouts = Timeouts(connect_ms=VERDICT_TIMEOUT_MS)
             (await self._connect_through_peer(endpoint, timeouts)).close()
-        except ConnectionFailedError:
-            # The endpoint may have ended; the circuit breaker sees to it.
+        except ConnectionFailedError as error:
+            log(NO_PATH, endpoint=endpoint.id, error=error.detail)
             return
         self._monitor.record_lost([endpoint.id])
 
