--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -233,6 +233,7 @@
             instance_id=settings.instance.id,
             link=self._link,
             list_peers=self._list_recent_peers,
+            list_service=self.registry.usable,
         )
         """Admissions of sends to brittle endpoints."""
         self.registry.on_lifetime_end.append(self.loads.reset_endpoint)
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
@@ -44,7 +44,7 @@
 """Share of a part's crashes that another part must have in common to explain them."""
 MAX_CRASHES = 16
 """Number of the newest crashes that are kept for a part."""
-MAX_SUSPECTS = 4_000
+MAX_SUSPECTS = 1_000
 """Maximum number of suspected parts; the oldest suspicion is dropped."""
 MAX_PROVEN = 8_000
 """Maximum number of parts whose last success is kept."""
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/admissions.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/admissions.py
@@ -166,6 +166,7 @@
         instance_id: str,
         link: PeerLink | None,
         list_peers: Callable[[], Iterable[str]],
+        list_service: Callable[[str], Iterable[EndpointRecord]],
     ) -> None:
         """Creates the admissions.
 
@@ -176,6 +177,7 @@
             instance_id: Id of this instance.
             link: Connections to the peers; None without peers.
             list_peers: Returns the ids of the peers, also of those that left lately.
+            list_service: Returns the endpoints of a service.
         """
         self._clock = clock
         self._tolerances = tolerances
@@ -183,6 +185,7 @@
         self._instance_id = instance_id
         self._link = link
         self._list_peers = list_peers
+        self._list_service = list_service
         self._denied_until_ms: dict[str, int] = {}
 
     def known_wait_ms(self, endpoint: EndpointRecord) -> int:
@@ -195,7 +198,20 @@
 
     def is_brittle(self, endpoint: EndpointRecord) -> bool:
         """Returns whether a send to an endpoint needs an admission."""
-        return self._tolerances.limit_of(endpoint) is not None
+        return self._tolerance_of(endpoint) is not None
+
+    def _tolerance_of(self, endpoint: EndpointRecord) -> float | None:
+        """Returns the refusals a second that an endpoint bears; None if it is not brittle.
+
+        One that has not answered yet is taken to be like the others of its service.
+        """
+        if self._tolerances.is_empty:
+            return None
+        own = self._tolerances.limit_of(endpoint)
+        if own is not None:
+            return own
+        others = map(self._tolerances.limit_of, self._list_service(endpoint.service))
+        return min((number for number in others if number is not None), default=None)
 
     async def acquire(self, endpoint: EndpointRecord) -> tuple[Admission | None, int]:
         """Requests the admission of one send.
@@ -205,7 +221,7 @@
         """
         if wait_ms := self.known_wait_ms(endpoint):
             return None, wait_ms
-        tolerance = self._tolerances.limit_of(endpoint) or 0.0
+        tolerance = self._tolerance_of(endpoint) or 0.0
         request = AdmissionRequest(endpoint.id, endpoint.started_ms, tolerance)
         counter_id = rank(endpoint.id, {self._instance_id, *self._list_peers()})[0]
         if counter_id == self._instance_id:
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -119,6 +119,11 @@
         """Type of the notices about these limits."""
         return self._kind.notice_type
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint has named a number."""
+        return not self._limits_by_id
+
     def limit_of(self, endpoint: EndpointRecord) -> float | None:
         """Returns the requests a second that an endpoint accepts; None without a limit."""
         return self.find(endpoint.id, endpoint.started_ms)
--- a/tests/mastickeel_router/ratelimits/test_admissions.py
+++ b/tests/mastickeel_router/ratelimits/test_admissions.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
@@ -25,6 +26,7 @@
 from mastickeel_router.ratelimits.limits import REFUSAL_TOLERANCE, EndpointBrittleNotice
 
 ENDPOINT = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1", started_ms=7)
+RESTARTED = replace(ENDPOINT, id="e2", started_ms=9)
 
 
 class AdmissionCounterTest(unittest.TestCase):
@@ -106,6 +108,7 @@
             instance_id="edge-1",
             link=None,
             list_peers=lambda: self.peers,
+            list_service=lambda service: [ENDPOINT, RESTARTED],
         )
 
     def name_tolerance(self) -> None:
@@ -116,6 +119,12 @@
         self.name_tolerance()
         self.assertTrue(self.admissions.is_brittle(ENDPOINT))
 
+    async def test_endpoint_that_starts_is_taken_to_be_like_the_others(self) -> None:
+        self.assertFalse(self.admissions.is_brittle(RESTARTED))
+        self.name_tolerance()
+        self.assertTrue(self.admissions.is_brittle(RESTARTED))
+        self.assertIsNone((await self.admissions.acquire(RESTARTED))[0])
+
     async def test_instance_that_is_alone_uses_the_whole_tolerance(self) -> None:
         self.name_tolerance()
         admission, wait_ms = await self.admissions.acquire(ENDPOINT)
