Ask a peer of another data centre second, so that one that is cut as a whole finds a path

Two peers that fail to connect settle that an endpoint is down. The peers of the own data centre came first, so that in one that is cut as a whole both were cut too, and nobody there learned of a path.

--- a/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
@@ -27,7 +27,7 @@
 """Peers that are tried for one connection."""
 MIN_WITNESSES = 2
 """Peers that must fail to connect to an endpoint, if there are as many, before it is taken to be
-unreachable for all: one may be cut off itself."""
+unreachable for all: one may be cut off itself, or a whole data centre."""
 AVOID_MS = 2_000
 """Time for which a peer that did not respond, or has too many tunnels, is tried last."""
 PROBE_INTERVAL_MS = 500
@@ -190,7 +190,7 @@
             TunnelRefusedError: When enough peers found that the endpoint cannot be reached.
             ConnectionFailedError: When no peer can, for another reason.
         """
-        peers = self._rank_peers()[:MAX_PEERS_TRIED]
+        peers = _mix_data_centres(self._rank_peers())[:MAX_PEERS_TRIED]
         witnesses = min(MIN_WITNESSES, len(peers))
         for peer_id, peer in peers:
             try:
@@ -298,3 +298,12 @@
         self._notified_ms = self._clock.now()
         for callback in self.on_state:
             callback(PathStateNotice(self._monitor.is_cut))
+
+
+def _mix_data_centres(peers: list[tuple[str, TunnelPeer]]) -> list[tuple[str, TunnelPeer]]:
+    """Moves the first peer of the other data centres, or else of this one, to the second place."""
+    if not peers:
+        return peers
+    first, *others = peers
+    other = next((one for one in others if one[1].is_near != first[1].is_near), None)
+    return peers if other is None else [first, other, *(one for one in others if one != other)]
--- a/tests/mastickeel_router/paths/test_paths.py
+++ b/tests/mastickeel_router/paths/test_paths.py
@@ -139,6 +139,17 @@
         with self.assertRaises(TunnelRefusedError):
             await self.paths.connect(ENDPOINTS[2], Timeouts())
 
+    async def test_data_centre_that_is_cut_as_a_whole_finds_a_peer_elsewhere(self) -> None:
+        for number in range(3):
+            address = Address("127.0.0.4", number + 1)
+            self.peers[f"near{number}"] = TunnelPeer(address, True)
+            self.failures[address] = TunnelRefusedError("cut too", "connection_timeout")
+        self.failures[NEAR] = TunnelRefusedError("cut too", "connection_refused")
+        self.failures[None] = refused()
+        self.assertEqual(
+            [await self.connect_to(endpoint) for endpoint in ENDPOINTS], ["failed", "far", "far"]
+        )
+
     async def test_own_path_is_tried_last_if_no_peer_helps(self) -> None:
         await self.cut()
         self.failures[NEAR] = self.failures[FAR] = ConnectionFailedError("no answer")
