Count an endpoint that a peer no longer lists as ended there

Its engines' entries go as they crash, and peers that had learned of it refused the tunnel that confirms a crash as unlisted, which counted as no answer, so that the crash was not recorded. It counts like a refused connection now.

--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -75,7 +75,8 @@
         super().__init__(detail)
         self.reason = reason
         """Error type of the answer's `Proxy-Status` header."""
-        self.refused = reason == "connection_refused"
+        # An endpoint that the other instance no longer lists has ended for it.
+        self.refused = reason in ("connection_refused", "destination_ip_prohibited")
 
 
 class ExchangeBrokenError(MastickeelError):
--- a/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
@@ -50,8 +50,10 @@
     "destination_unavailable": 503,
 }
 """Status of each refusal; the reasons are the error types of the `Proxy-Status` header."""
-ENDPOINT_FAULTS = frozenset({"connection_refused", "connection_timeout"})
-"""Reasons that say that the endpoint cannot be reached by the instance that opens the tunnel."""
+ENDPOINT_FAULTS = frozenset(
+    {"connection_refused", "connection_timeout", "destination_ip_prohibited"}
+)
+"""Reasons that say that the instance that opens the tunnel does not reach or list the endpoint."""
 
 TUNNEL_FAILED = define_event(
     2399,
--- a/tests/mastickeel_router/paths/test_paths.py
+++ b/tests/mastickeel_router/paths/test_paths.py
@@ -182,6 +182,8 @@
         self.assertFalse(await self.paths.has_ended(endpoint))
         for far, has_ended in (
             ("connection_refused", True),
+            ("destination_ip_prohibited", True),
+            ("connection_timeout", False),
             ("destination_unavailable", False),
         ):
             self.failures[NEAR] = TunnelRefusedError("failed", "connection_refused")
