--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -505,7 +505,10 @@
         while self._clock.now() < end_ms:
             ports = " ".join(str(endpoint.server.port) for endpoint in self._endpoints)
             for instance in instances:
-                instance.cut_file.write_text(f"{how} {ports}")
+                # Replaced as a whole: a process may read it at any moment.
+                new_file = instance.cut_file.with_suffix(".new")
+                new_file.write_text(f"{how} {ports}")
+                new_file.replace(instance.cut_file)
             await self._clock.sleep(100)
         for instance in instances:
             instance.cut_file.write_text("")
