Take two endpoints found lost, one after the other, for a cut of all paths

Callers of an instance that is cut off without an answer waited for a time-out at each endpoint in turn, and some were refused. Cause: an endpoint found lost through a peer no longer counted as one that fails, so that the instance had to find two more. Change: failures count until a direct connection succeeds or all paths are lost. The test failed before: the third connection failed and now goes through a peer.

--- a/packages/mastickeel_router/src/mastickeel_router/paths/monitor.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/monitor.py
@@ -64,6 +64,7 @@
 
     def record_cut(self) -> None:
         """Records that a peer reaches endpoints to which this instance finds no path."""
+        self._failed_ids.clear()
         self.record_lost(self._list_ids())
 
     def record_lost(self, endpoint_ids: Collection[str]) -> None:
@@ -72,7 +73,6 @@
         if not lost_ids:
             return
         self.lost_ids |= lost_ids
-        self._failed_ids.clear()
         log(PATH_LOST, endpoints=sorted(lost_ids), lost=len(self.lost_ids))
         self._notify(lost_ids)
 
--- a/tests/mastickeel_router/paths/test_paths.py
+++ b/tests/mastickeel_router/paths/test_paths.py
@@ -93,6 +93,14 @@
         self.assertEqual(await self.connect_to(ENDPOINTS[1]), "failed")
         self.assertEqual(self.monitor.lost_ids, set())
 
+    async def test_second_endpoint_found_lost_shows_the_cut(self) -> None:
+        self.failures[None] = ConnectionFailedError("no answer")
+        self.assertEqual(await self.connect_to(ENDPOINTS[0]), "failed")
+        await self.clock.settle()
+        self.assertEqual(self.monitor.lost_ids, {ENDPOINTS[0].id})
+        self.assertEqual([await self.connect_to(one) for one in ENDPOINTS[1:]], ["near"] * 2)
+        self.assertTrue(self.monitor.is_cut)
+
     async def test_endpoint_that_only_peers_reach_is_reached_through_them(self) -> None:
         self.down = {ENDPOINTS[0].address}
         self.assertEqual(await self.connect_to(ENDPOINTS[0]), "failed")
