Soak: rules in a module of their own; compare cut instances again in every cut

Change: records and rules in soak_checks.py; every cut is judged, and only tries that were refused as the endpoints' rate limits were used up (endpoints_limited, the traced case) are left out.

--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import json
-import math
 import os
 import random
 import signal
@@ -18,7 +17,7 @@
 import tempfile
 import zlib
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -26,6 +25,21 @@
 from mastickeel.clock import Clock
 from mastickeel.tasks import TaskGroup
 from tests.mastickeel_platform.gateway_case import PEERS, SETTINGS
+from tests.mastickeel_platform.soak_checks import (
+    CONTACT_MS,
+    MAX_SOUND_REFUSED,
+    Arrival,
+    Cut,
+    Instance,
+    LimitedEndpoint,
+    Statement,
+    Try,
+    check_cut,
+    check_falls,
+    check_limits,
+    check_part,
+    check_statements,
+)
 from tests.mastickeel_platform.standins import (
     FakeStore,
     RawServer,
@@ -45,27 +59,7 @@
 
 RATES = (0.5, 1.0, 1.6, 4.0, 12.0)
 ENDPOINT_COUNT = 3
-WINDOW_MS = 4_000
-EXCESS = 1.5
-SLACK = 5
-CONTACT_MS = 3_000
-"""The platform's bounds: what an endpoint may get in a window above its limit, and the time after
-the first answer with a limit, and after an instance's fault, from which on requests count."""
-DRAIN_MS = 2_000
-"""Time after an endpoint has said that it leaves, from which its sender may send nothing."""
-AWAY_FROM_MS = 500
-MAX_SENT_WHILE_AWAY = 2
-"""Time after a refusal with a time to stay away, and the most requests between it and the end."""
 AWAY_S = (0.6, 1.5, 3.0, 6.0)
-CRASHES_BEFORE = 5
-MAX_SENT_TO_CRASH = 3
-"""Crashes of a part after which, CONTACT_MS later, requests with it count, and the most of them."""
-MAX_SOUND_REFUSED = 0.05
-"""Largest share of requests without a crashing part that may be refused for their parts."""
-FALLS_ALLOWED = 2
-FALLS_SHARE = 0.1
-"""Falls that are allowed in one time in which endpoints are brittle: a number and a share of the
-endpoints."""
 TOLERANCES = (1, 2)
 BRITTLE_ROOM = 2
 BRITTLE_FOR_MS = (5_000, 9_000)
@@ -73,14 +67,6 @@
 RESTART_MS = 1_000
 CRASHING_INTERVAL_MS = 250
 CRASHING_FOR_MS = (3_000, 9_000)
-MIN_SERVED_WHEN_CUT = 2 / 3
-MAX_FAILED_WHEN_CUT = 10
-MAX_FAILED_SHARE = 1 / 50
-"""Share of the other instances' rate at which instances that are cut off from all endpoints serve
-first tries, and the failures there that are allowed: a number and a share of all first tries."""
-MIN_SERVED_ELSEWHERE = 0.5
-"""Share of first tries that the other instances serve, below which the endpoints' own limits decide
-who is served."""
 CUT_FOR_MS = (4_000, 8_000)
 START_TIMEOUT_MS = 30_000
 REQUEST_TIMEOUT_MS = 8_000
@@ -93,94 +79,6 @@
 CONFIGURATION = configuration(7, route("look", "safe", max_attempts=2))
 
 
-@dataclass(frozen=True)
-class Arrival:
-    """A request at an endpoint."""
-
-    at_ms: int
-    sender: str
-    request_id: str
-    born: int
-    """Start of the endpoint's process."""
-    ran: bool
-    part: str = ""
-    """The crashing part of its prompt; empty for none."""
-
-
-@dataclass(frozen=True)
-class Statement:
-    """An answer that says that the endpoint leaves, or that it wants nothing for a time."""
-
-    at_ms: int
-    sender: str
-    born: int
-    away_ms: float | None = None
-    """Time to stay away; None when the endpoint leaves."""
-
-
-@dataclass
-class LimitedEndpoint:
-    """An endpoint that names a limit while it has one."""
-
-    id: str
-    server: RawServer
-    born: int = 1
-    is_leaving: bool = False
-    is_draining: bool = False
-    """Whether its entry says that it leaves."""
-    away_s: float | None = None
-    """Time to stay away in its refusals; None while it serves."""
-    statements: list[Statement] = field(default_factory=list)
-    limit: float | None = None
-    named_since_ms: int | None = None
-    """Time of the first answer with the present limit."""
-    periods: list[tuple[float, int, int]] = field(default_factory=list)
-    """Limits that are over: requests a second, and the times of the first and last answer."""
-    arrivals: list[Arrival] = field(default_factory=list)
-    tolerance: int | None = None
-    """Refusals a second that the endpoint bears; None while it is not brittle."""
-    running: int = 0
-    refusals: list[Arrival] = field(default_factory=list)
-    """Requests that were turned away for want of room while it was brittle."""
-
-    def set_limit(self, limit: float | None, now_ms: int) -> None:
-        """Ends the present limit and begins another."""
-        if self.limit is not None and self.named_since_ms is not None:
-            self.periods.append((self.limit, self.named_since_ms, now_ms))
-        self.limit, self.named_since_ms = limit, None
-
-
-@dataclass
-class Instance:
-    """A gateway process."""
-
-    id: str
-    process: asyncio.subprocess.Process | None = None
-    port: int = 0
-    faults_ms: list[tuple[int, int]] = field(default_factory=list)
-    """Spans in which the process was stopped, restarted or cut off."""
-    cut_file: Path = Path()
-    """File that cuts the process off from endpoints."""
-
-
-@dataclass(frozen=True)
-class Try:
-    """First try of a request without a crashing part."""
-
-    at_ms: int
-    instance: str
-    served: bool
-
-
-@dataclass(frozen=True)
-class Cut:
-    """Time in which some instances were cut off from all endpoints."""
-
-    begin_ms: int
-    end_ms: int
-    instances: frozenset[str]
-
-
 @dataclass
 class Result:
     """What a run has shown."""
@@ -218,6 +116,7 @@
         self._ids_by_sender: dict[str, str] = {}
         self._refused_ids: set[str] = set()
         self._served_ids: set[str] = set()
+        self._limited_ids: set[str] = set()
         self._ended = False
         self._tasks = TaskGroup()
 
@@ -384,7 +283,14 @@
         """Awaits a reply to a sound request; returns whether the connection can be used again."""
         at_ms = self._clock.now()
         is_open = await self._exchange(instance, request_id, reply)
-        self._tries.append(Try(at_ms, instance.id, request_id in self._served_ids))
+        self._tries.append(
+            Try(
+                at_ms,
+                instance.id,
+                request_id in self._served_ids,
+                is_limited=request_id in self._limited_ids,
+            )
+        )
         return is_open
 
     async def _exchange(
@@ -401,6 +307,8 @@
         self._outcomes["sound_refused"] += is_part and CRASHING_PREFIX not in request_id
         if got.status == 200:
             self._served_ids.add(request_id)
+        if b'"endpoints_limited"' in got.body:
+            self._limited_ids.add(request_id)
         if got.status in (401, 403, 404):
             self._violations.append(f"{request_id}: {got.status} though the route is there")
         if got.status == 503:
@@ -476,21 +384,12 @@
             endpoint.tolerance = tolerance
             endpoint.refusals.clear()
         await self._clock.sleep(self._rng.uniform(*BRITTLE_FOR_MS))
-        falls = 0
         for endpoint in self._endpoints:
             endpoint.tolerance = None
-            times_ms = [
-                one.at_ms
-                for one in endpoint.refusals
-                if one.at_ms >= begin_ms + CONTACT_MS and not self._is_excused(one)
-            ]
-            falls += sum(
-                last - first < 1_000
-                for first, last in zip(times_ms, times_ms[tolerance:], strict=False)
-            )
         self._outcomes["brittle_refusals"] += sum(len(one.refusals) for one in self._endpoints)
-        if falls > FALLS_ALLOWED + FALLS_SHARE * len(self._endpoints):
-            self._violations.append(f"{falls} falls since {begin_ms}, tolerance {tolerance}")
+        self._violations += check_falls(
+            self._endpoints, self._instances, tolerance, begin_ms + CONTACT_MS
+        )
 
     async def _cut_off(self) -> None:
         """Cuts some instances, but not all, off from all endpoints."""
@@ -604,110 +503,21 @@
         await self._tasks.stop()
 
     def _check(self) -> None:
-        """Checks the limits, and that what was refused has not run."""
+        """Checks the rules, and that what was refused has not run."""
         ran_ids = {
             arrival.request_id for one in self._endpoints for arrival in one.arrivals if arrival.ran
         }
-        self._violations += [f"{one}: refused but run" for one in ran_ids & self._refused_ids]
+        found = [f"{one}: refused but run" for one in ran_ids & self._refused_ids]
+        if self._outcomes["sound_refused"] > MAX_SOUND_REFUSED * self._outcomes["200"]:
+            found.append(f"{self._outcomes['sound_refused']} sound requests refused")
         for cut in self._cuts:
-            self._check_cut(cut)
+            found += check_cut(cut, self._tries, self._instances)
         for part, crashes_ms in self._crashes_ms_by_part.items():
-            self._check_part(part, sorted(crashes_ms))
-        if self._outcomes["sound_refused"] > MAX_SOUND_REFUSED * self._outcomes["200"]:
-            self._violations.append(f"{self._outcomes['sound_refused']} sound requests refused")
+            found += check_part(part, sorted(crashes_ms), self._endpoints, self._instances)
         for endpoint in self._endpoints:
-            for per_second, begin_ms, end_ms in endpoint.periods:
-                self._check_period(endpoint, per_second, begin_ms + CONTACT_MS, end_ms)
-            for statement in endpoint.statements:
-                self._check_statement(endpoint, statement)
-
-    def _check_cut(self, cut: Cut) -> None:
-        """Checks that instances which were cut off served nearly as many first tries as others."""
-        tries = [
-            one
-            for one in self._tries
-            if cut.begin_ms + CONTACT_MS <= one.at_ms <= cut.end_ms
-            and not self._has_fault(one.instance, one.at_ms)
-        ]
-        shares = []
-        for is_cut in (True, False):
-            served = [one.served for one in tries if (one.instance in cut.instances) == is_cut]
-            shares.append((sum(served), len(served)))
-        (cut_served, cut_tries), (served, other_tries) = shares
-        if not cut_tries or not other_tries:
-            return
-        share, other_share = cut_served / cut_tries, served / other_tries
-        if other_share < MIN_SERVED_ELSEWHERE:
-            return
-        allowed = MAX_FAILED_WHEN_CUT + MAX_FAILED_SHARE * len(tries)
-        if share < MIN_SERVED_WHEN_CUT * other_share and cut_tries - cut_served > allowed:
-            self._violations.append(f"{cut}: served {shares[0]} of first tries, others {shares[1]}")
-
-    def _check_part(self, part: str, crashes_ms: list[int]) -> None:
-        """Checks that the instances stop to send a part that has crashed endpoints."""
-        if len(crashes_ms) < CRASHES_BEFORE:
-            return
-        begin_ms = crashes_ms[CRASHES_BEFORE - 1] + CONTACT_MS
-        sent = [
-            arrival
-            for endpoint in self._endpoints
-            for arrival in endpoint.arrivals
-            if arrival.part == part and arrival.at_ms > begin_ms and not self._is_excused(arrival)
-        ]
-        if len(sent) > MAX_SENT_TO_CRASH:
-            self._violations.append(
-                f"{part}: {len(sent)} requests after {len(crashes_ms)} crashes at {crashes_ms}"
-            )
-
-    def _check_statement(self, endpoint: LimitedEndpoint, statement: Statement) -> None:
-        """Checks what the receiver of a statement sent after it; a fault since then excuses it."""
-        begin_ms, end_ms = statement.at_ms + DRAIN_MS, math.inf
-        allowed = 0
-        if statement.away_ms is not None:
-            begin_ms, end_ms = statement.at_ms + AWAY_FROM_MS, statement.at_ms + statement.away_ms
-            allowed = MAX_SENT_WHILE_AWAY
-        instance = next(one for one in self._instances if one.id == statement.sender)
-        faults_ms = [end for _, end in instance.faults_ms if end >= statement.at_ms]
-        end_ms = min([end_ms, *faults_ms])
-        sent = [
-            arrival
-            for arrival in endpoint.arrivals
-            if (arrival.sender, arrival.born) == (statement.sender, statement.born)
-            and begin_ms < arrival.at_ms <= end_ms
-        ]
-        if len(sent) > allowed:
-            self._violations.append(f"{endpoint.id}: {len(sent)} requests after {statement}")
-
-    def _check_period(
-        self, endpoint: LimitedEndpoint, per_second: float, begin_ms: int, end_ms: int
-    ) -> None:
-        allowed = EXCESS * per_second * WINDOW_MS / 1_000 + SLACK
-        counted = [
-            arrival
-            for arrival in endpoint.arrivals
-            if begin_ms <= arrival.at_ms <= end_ms and not self._is_excused(arrival)
-        ]
-        first = 0
-        for last, arrival in enumerate(counted):
-            while counted[first].at_ms <= arrival.at_ms - WINDOW_MS:
-                first += 1
-            if last - first + 1 > allowed:
-                self._violations.append(
-                    f"{endpoint.id} named {per_second} a second and got {last - first + 1}"
-                    f" requests in {WINDOW_MS} ms, allowed {allowed:g}"
-                )
-                return
-
-    def _is_excused(self, arrival: Arrival) -> bool:
-        """Returns whether the sender was under a fault, or just after it."""
-        return self._has_fault(arrival.sender, arrival.at_ms)
-
-    def _has_fault(self, instance_id: str, at_ms: int) -> bool:
-        """Returns whether an instance was under a fault, or just after it."""
-        instance = next(one for one in self._instances if one.id == instance_id)
-        return any(
-            begin_ms <= at_ms <= end_ms + CONTACT_MS for begin_ms, end_ms in instance.faults_ms
-        )
+            found += check_limits(endpoint, self._instances)
+            found += check_statements(endpoint, self._instances)
+        self._violations += found
 
 
 def _prompt_bytes(request_id: str, parts: str) -> bytes:
