Bound tunnels by the deployment's descriptors and routes; gauges in a module of their own

Change: a tenth of [tunnels] descriptors (two for each tunnel; rendered from the platform's limit), and the longest timeout of a route and 5 s; gateway/gauges.py; plainer names in paths.py. The store and the callers' listener of a gateway are public names, as tests use them. Measured: the tests of settings, template, tunnels and store era pass; 4,100 descriptors give 205.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import math
 import random
-import time
 from dataclasses import replace
-from functools import partial
 from typing import TYPE_CHECKING
 
 from mastickeel import events
@@ -39,6 +36,7 @@
     share_sessions,
 )
 from mastickeel_router.gateway.counted_store import CountedStore
+from mastickeel_router.gateway.gauges import add_gauges
 from mastickeel_router.gateway.keeping import LostWrites
 from mastickeel_router.gateway.metrics import METRICS_PATH, GatewayMetrics
 from mastickeel_router.gateway.pages import Page, PageListener
@@ -89,14 +87,6 @@
 
 MAX_QUEUED_BATCHES = 32
 """Batches of notices queued for an instance that does not read: those of three seconds."""
-PEER_COUNTERS = {
-    "sent": "Messages sent to other instances",
-    "sent_bytes": "Bytes of messages sent to other instances",
-    "received": "Messages received from other instances",
-    "received_bytes": "Bytes of messages received from other instances",
-    "dropped": "Messages to other instances that were dropped",
-}
-"""Counters of the peer link that are shown as gauges, with their descriptions."""
 
 VALUE_IGNORED = define_event(
     2350,
@@ -153,7 +143,7 @@
         self.limits = EndpointLimits(clock)
         """Rate limits that endpoints have named."""
         self.tolerances = EndpointLimits(clock, REFUSAL_TOLERANCE)
-        """Refusals a second that brittle endpoints have said they bear."""
+        """Refusals a second that brittle endpoints tolerate."""
         self.admission_counter = AdmissionCounter(clock)
         """Counts the fleet's sends to the brittle endpoints that this instance counts."""
         self.availability = EndpointAvailability(clock, self.rng)
@@ -188,13 +178,15 @@
             monitor=self.path_monitor,
             find_endpoint=self._find_endpoint,
             accepts=self.availability.accepts,
+            longest_timeout_ms=self._longest_timeout_ms,
         )
         """Tunnels to endpoints for peers that are cut off from them."""
         self.metrics = GatewayMetrics()
         """Metrics of this instance."""
         deployment = make_deployment(self.http)
-        self._store = CountedStore(deployment.store, clock, self.metrics.record_store_call)
-        self._deployment = replace(deployment, store=self._store)
+        self.store = CountedStore(deployment.store, clock, self.metrics.record_store_call)
+        """The deployment's store; counts the calls."""
+        self._deployment = replace(deployment, store=self.store)
         self.releases = Releases(
             self._deployment,
             instance_id=settings.instance.id,
@@ -204,7 +196,7 @@
         )
         """Releases under way; decide on which versions a request may run."""
         self._lost_writes = LostWrites(
-            self._store,
+            self.store,
             instance_id=settings.instance.id,
             prefix=settings.store.prefix,
             clock=clock,
@@ -240,14 +232,15 @@
         self.registry.on_lifetime_end.append(self.permits.reset_endpoint)
         self.registry.on_lifetime_end.append(self.admissions.reset_endpoint)
         self.table.on_change.append(
-            lambda configuration: self._listener.apply_limits(configuration.limits)
+            lambda configuration: self.listener.apply_limits(configuration.limits)
         )
-        self._add_gauges()
+        add_gauges(self, self._peer_metrics.totals_by_name)
         self._metrics_listener = PageListener(METRICS_PATH, self.metrics.render_page)
         self._dispatcher = Dispatcher(self._make_context())
-        self._listener = CallerListener(
+        self.listener = CallerListener(
             self._dispatcher.serve, self._write_refusal, self._caller_limits
         )
+        """Listener of callers."""
         self._health_listener = PageListener(
             settings.health.path, lambda: Page(200 if self.ready else 503)
         )
@@ -276,8 +269,9 @@
         }
         if self._link is not None and self._instances is not None and self.settings.peers:
             await self._link.bind(self.settings.peers.listen)
-            if self.settings.tunnels is not None:
-                self._instances.tunnels_port = self.tunnels.open(self.settings.tunnels.listen)
+            if (tunnels := self.settings.tunnels) is not None:
+                port = self.tunnels.open(tunnels.listen, tunnels.max_open)
+                self._instances.tunnels_port = port
             self._tasks.start_supervised(self.clock, "probe endpoints", self.paths.run_probes)
             self._tasks.start_supervised(self.clock, "register", self._instances.keep_registered)
             self._tasks.start_supervised(self.clock, "tell crashes", self.crashes.run_resending)
@@ -294,7 +288,7 @@
         deadline_ms = self.clock.now() + START_TIMEOUT_MS
         while not self._has_loaded and self.clock.now() < deadline_ms:
             await self.clock.sleep(START_CHECK_INTERVAL_MS)
-        self.callers_port = self._listener.listen(self.settings.callers.listen)
+        self.callers_port = self.listener.listen(self.settings.callers.listen)
         log(events.STARTED, callers=self.callers_port, health=self.health_port)
 
     def _listen_for_metrics(self, address: Address) -> None:
@@ -319,16 +313,16 @@
         deadline_ms = self.clock.now() + stop.grace_ms - stop.reserve_ms
         self.stopping = True
         self.tunnels.refuse_new()
-        log(events.STOPPING, open_requests=self._listener.open_requests)
-        self._listener.disable_keep_alive()
+        log(events.STOPPING, open_requests=self.listener.open_requests)
+        self.listener.disable_keep_alive()
         # In the background: a store that does not answer must not use up the grace period.
         self._tasks.start(self.releases.release_duty())
         await self.clock.sleep(min(stop.leave_ms, deadline_ms - self.clock.now()))
-        self._listener.stop()
+        self.listener.stop()
         idle_since_ms = self.clock.now()
         while (now := self.clock.now()) < deadline_ms:
-            self._listener.close_idle()
-            if self._listener.open_requests or self.tunnels.open_count:
+            self.listener.close_idle()
+            if self.listener.open_requests or self.tunnels.open_count:
                 idle_since_ms = now
             elif now - idle_since_ms >= IDLE_BEFORE_STOP_MS:
                 break
@@ -336,8 +330,8 @@
 
     async def stop(self) -> None:
         """Closes all listeners and connections at once, which aborts open requests."""
-        open_requests = self._listener.open_requests
-        await self._listener.close()
+        open_requests = self.listener.open_requests
+        await self.listener.close()
         self.tunnels.close()
         await self._health_listener.close()
         await self._metrics_listener.close()
@@ -357,6 +351,12 @@
         peer_ids = self._link.peer_ids if self._link is not None else ()
         return rank(key, (own_id, *peer_ids)).index(own_id)
 
+    def _longest_timeout_ms(self) -> int:
+        """Returns the longest timeout of the configured routes; 0 without a configuration."""
+        configuration = self.table.configuration
+        routes = configuration.routes if configuration else ()
+        return max((route.timeout_ms for route in routes), default=0)
+
     def _find_endpoint(self, address: Address) -> EndpointRecord | None:
         """Returns the endpoint that is listed at an address; None if there is none."""
         return next((one for one in self.registry.all() if one.address == address), None)
@@ -384,11 +384,6 @@
         """Returns the number of instances of the fleet that are known now, with this one."""
         return 1 + (len(self._link.peer_ids) if self._link is not None else 0)
 
-    def _count_limited(self) -> int:
-        """Returns the number of listed endpoints that have a rate limit."""
-        limits = map(self.limits.limit_of, self.registry.all())
-        return sum(limit is not None for limit in limits)
-
     def _list_recent_peers(self) -> Collection[str]:
         """Returns the ids of the peers that are in the directory or were there recently."""
         return self._instances.recent_peer_ids if self._instances is not None else ()
@@ -428,7 +423,7 @@
         share_crashes(broadcast, self.crashes)
         share_part_crashes(broadcast, self.crashing_parts)
         share_path_state(broadcast, self.paths)
-        share_era(broadcast, self._store.era)
+        share_era(broadcast, self.store.era)
         share_limits(
             broadcast, self.limits, lambda endpoint_id: self.registry.get(endpoint_id) is not None
         )
@@ -467,7 +462,7 @@
             tasks=self._tasks,
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
-            store_age_ms=self._store.age_ms,
+            store_age_ms=self.store.age_ms,
             open_sends=self.releases.evidence.open_sends,
             on_send=self._record_send,
             on_send_abandoned=self.releases.record_abandoned,
@@ -480,89 +475,6 @@
         self.releases.record_send(observation)
         self.metrics.record_send(observation)
 
-    def _add_gauges(self) -> None:
-        """Adds the gauges, whose values are read on each scrape."""
-        metrics = self.metrics
-        metrics.add_gauge(
-            "open_requests", "Requests under way", lambda: self._listener.open_requests
-        )
-        metrics.add_gauge("endpoints", "Endpoints known", lambda: len(self.registry.all()))
-        metrics.add_gauge(
-            "endpoints_limited", "Endpoints that name a rate limit", self._count_limited
-        )
-        metrics.add_gauge(
-            "answer_bytes",
-            "Size of the answers under way that this instance holds",
-            lambda: self.answer_memory.held_bytes,
-        )
-        metrics.add_gauge(
-            "answers_evicted",
-            "Answers given up since the start because they filled the memory for answers",
-            lambda: self.answer_memory.evictions,
-        )
-        metrics.add_gauge(
-            "endpoints_leaving",
-            "Endpoints that have said that they leave",
-            lambda: sum(map(self.availability.is_leaving, self.registry.all())),
-        )
-        metrics.add_gauge(
-            "endpoints_away",
-            "Endpoints that want no requests from this instance for a time",
-            lambda: sum(map(bool, map(self.availability.wait_ms, self.registry.all()))),
-        )
-        metrics.add_gauge(
-            "parts_refused",
-            "Parts of prompts that are refused because they crashed endpoints",
-            lambda: len(self.crashing_parts.refused_parts),
-        )
-        metrics.add_gauge(
-            "paths_lost",
-            "Endpoints that this instance reaches only through other instances",
-            lambda: len(self.path_monitor.lost_ids),
-        )
-        metrics.add_gauge(
-            "tunnels_open", "Tunnels open for other instances", lambda: self.tunnels.open_count
-        )
-        metrics.add_gauge(
-            "tunnels_used",
-            "Connections made through other instances since the start",
-            lambda: self.paths.tunnels_used,
-        )
-        metrics.add_gauge(
-            "endpoints_brittle",
-            "Endpoints that fall over when they turn too many requests away",
-            lambda: sum(map(self.admissions.is_brittle, self.registry.all())),
-        )
-        metrics.add_gauge("ready", "Whether new connections are taken", lambda: self.ready)
-        metrics.add_gauge(
-            "routes_version",
-            "Version of the configuration in force",
-            lambda: self.table.version,
-        )
-        metrics.add_gauge("release_share", "The largest of a release", lambda: self.releases.share)
-        metrics.add_gauge(
-            "leads_releases", "Whether it moves releases on", lambda: self.releases.is_leader
-        )
-        metrics.add_gauge("repeats_paid", "Repeats since the start", lambda: self.budget.granted)
-        metrics.add_gauge("repeats_refused", "Repeats not paid for", lambda: self.budget.refused)
-        metrics.add_gauge(
-            "store_silent_seconds", "Since the store last answered", self._store_silence_s
-        )
-        metrics.add_gauge(
-            "store_era", "Era of the store; 0 if not known", lambda: self._store.era.number or 0
-        )
-        metrics.add_gauge("processor_seconds", "Processor time since the start", time.process_time)
-        peer_totals = self._peer_metrics.totals_by_name
-        for name, description in PEER_COUNTERS.items():
-            metrics.add_gauge(
-                f"peer_{name}", description, partial(peer_totals.__getitem__, f"peers.{name}")
-            )
-
-    def _store_silence_s(self) -> float:
-        """Returns the time since the store's last answer, in seconds; infinite before the first."""
-        age_ms = self._store.age_ms()
-        return math.inf if age_ms is None else age_ms / 1_000
-
     def _caller_limits(self) -> CallerLimits:
         configuration = self.table.configuration
         return configuration.limits if configuration else CallerLimits()
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
@@ -0,0 +1,115 @@
+"""Gauges of one instance, whose values are read on each scrape."""
+
+from __future__ import annotations
+
+import math
+import time
+from functools import partial
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from mastickeel_router.gateway.gateway import Gateway
+
+PEER_COUNTERS = {
+    "sent": "Messages sent to other instances",
+    "sent_bytes": "Bytes of messages sent to other instances",
+    "received": "Messages received from other instances",
+    "received_bytes": "Bytes of messages received from other instances",
+    "dropped": "Messages to other instances that were dropped",
+}
+"""Counters of the peer link that are shown as gauges, with their descriptions."""
+
+
+def add_gauges(gateway: Gateway, peer_totals: Mapping[str, int]) -> None:
+    """Adds the gauges of a gateway to its metrics.
+
+    Args:
+        gateway: The gateway whose state the gauges show.
+        peer_totals: Totals of the peer link by name.
+    """
+    metrics = gateway.metrics
+    metrics.add_gauge("open_requests", "Requests under way", lambda: gateway.listener.open_requests)
+    metrics.add_gauge("endpoints", "Endpoints known", lambda: len(gateway.registry.all()))
+    metrics.add_gauge(
+        "endpoints_limited", "Endpoints that name a rate limit", lambda: _count_limited(gateway)
+    )
+    metrics.add_gauge(
+        "answer_bytes",
+        "Size of the answers under way that this instance holds",
+        lambda: gateway.answer_memory.held_bytes,
+    )
+    metrics.add_gauge(
+        "answers_evicted",
+        "Answers given up since the start because they filled the memory for answers",
+        lambda: gateway.answer_memory.evictions,
+    )
+    metrics.add_gauge(
+        "endpoints_leaving",
+        "Endpoints that have said that they leave",
+        lambda: sum(map(gateway.availability.is_leaving, gateway.registry.all())),
+    )
+    metrics.add_gauge(
+        "endpoints_away",
+        "Endpoints that want no requests from this instance for a time",
+        lambda: sum(map(bool, map(gateway.availability.wait_ms, gateway.registry.all()))),
+    )
+    metrics.add_gauge(
+        "parts_refused",
+        "Parts of prompts that are refused because they crashed endpoints",
+        lambda: len(gateway.crashing_parts.refused_parts),
+    )
+    metrics.add_gauge(
+        "paths_lost",
+        "Endpoints that this instance reaches only through other instances",
+        lambda: len(gateway.path_monitor.lost_ids),
+    )
+    metrics.add_gauge(
+        "tunnels_open", "Tunnels open for other instances", lambda: gateway.tunnels.open_count
+    )
+    metrics.add_gauge(
+        "tunnels_used",
+        "Connections made through other instances since the start",
+        lambda: gateway.paths.tunnels_used,
+    )
+    metrics.add_gauge(
+        "endpoints_brittle",
+        "Endpoints that fail when they have to reject too many requests",
+        lambda: sum(map(gateway.admissions.is_brittle, gateway.registry.all())),
+    )
+    metrics.add_gauge("ready", "Whether new connections are taken", lambda: gateway.ready)
+    metrics.add_gauge(
+        "routes_version",
+        "Version of the configuration in force",
+        lambda: gateway.table.version,
+    )
+    metrics.add_gauge("release_share", "The largest of a release", lambda: gateway.releases.share)
+    metrics.add_gauge(
+        "leads_releases", "Whether it moves releases on", lambda: gateway.releases.is_leader
+    )
+    metrics.add_gauge("repeats_paid", "Repeats since the start", lambda: gateway.budget.granted)
+    metrics.add_gauge("repeats_refused", "Repeats not paid for", lambda: gateway.budget.refused)
+    metrics.add_gauge(
+        "store_silent_seconds", "Since the store last answered", lambda: _measure_silence(gateway)
+    )
+    metrics.add_gauge(
+        "store_era", "Era of the store; 0 if not known", lambda: gateway.store.era.number or 0
+    )
+    metrics.add_gauge("processor_seconds", "Processor time since the start", time.process_time)
+    for name, description in PEER_COUNTERS.items():
+        metrics.add_gauge(
+            f"peer_{name}", description, partial(peer_totals.__getitem__, f"peers.{name}")
+        )
+
+
+def _count_limited(gateway: Gateway) -> int:
+    """Returns the number of listed endpoints that have a rate limit."""
+    limits = map(gateway.limits.limit_of, gateway.registry.all())
+    return sum(limit is not None for limit in limits)
+
+
+def _measure_silence(gateway: Gateway) -> float:
+    """Returns the time since the store's last answer, in seconds; infinite before the first."""
+    age_ms = gateway.store.age_ms()
+    return math.inf if age_ms is None else age_ms / 1_000
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -45,6 +45,25 @@
     data centre one with the fastest link, its hub, forwards the notices of all."""
 
 
+DESCRIPTORS_PER_TUNNEL = 2
+TUNNEL_SHARE = 0.1
+"""Part of the descriptors for peers' tunnels; the instance's own callers need the rest."""
+
+
+@dataclass(frozen=True)
+class TunnelSettings:
+    """Listener for peers that have lost their paths to endpoints."""
+
+    listen: Address
+    descriptors: int = 4_096
+    """File descriptors that the process may use."""
+
+    @property
+    def max_open(self) -> int:
+        """Maximum number of open tunnels."""
+        return max(1, round(self.descriptors * TUNNEL_SHARE) // DESCRIPTORS_PER_TUNNEL)
+
+
 @dataclass(frozen=True)
 class StopSettings:
     """Times of a graceful stop."""
@@ -89,8 +108,8 @@
     store: StoreSettings
     peers: PeersSettings | None = None
     """Listener for the other instances; None to share no state with them."""
-    tunnels: ListenSettings | None = None
-    """Listener for peers that are cut off from the endpoints; None to open no tunnels for them."""
+    tunnels: TunnelSettings | None = None
+    """Listener for peers that have lost their paths to endpoints; None to open no tunnels."""
     metrics: ListenSettings | None = None
     """Listener for metrics; None to serve none."""
     repeats: RetryLimits = field(default_factory=RetryLimits)
@@ -130,6 +149,8 @@
         ("sessions.gap_ms", settings.sessions.gap_ms),
         ("memory.limit_mb", settings.memory.limit_mb),
     ]
+    if settings.tunnels is not None:
+        numbers.append(("tunnels.descriptors", settings.tunnels.descriptors))
     faults = [
         f"settings.{key} is {value}; write a number above 0" for key, value in numbers if value <= 0
     ]
--- a/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
@@ -25,7 +25,7 @@
 
 MAX_PEERS_TRIED = 3
 """Peers that are tried for one connection."""
-MIN_WITNESSES = 2
+MIN_FAILED_PEERS = 2
 """Peers that must fail to connect to an endpoint, if there are as many, before it is taken to be
 unreachable for all: one may be cut off itself, or a whole data centre."""
 AVOID_MS = 2_000
@@ -39,7 +39,7 @@
 """Interval at which an instance that is cut off says so again."""
 NOTICE_TTL_MS = 3 * NOTICE_INTERVAL_MS
 """Time for which a peer is taken to be cut off after it has said so."""
-VERDICT_TIMEOUT_MS = 1_000
+CHECK_TIMEOUT_MS = 1_000
 """Timeout of a connection that shows whether an endpoint has ended: allows for one packet
 retransmission."""
 
@@ -107,7 +107,7 @@
         self._avoided_until_ms: dict[str, int] = {}
         self._cut_until_ms: dict[str, int] = {}
         self._verified_ms_by_id: dict[str, int] = {}
-        self._verdicts_by_lifetime: dict[tuple[str, int], asyncio.Task[bool]] = {}
+        self._checks_by_lifetime: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self._next_probe = 0
         self._notified_ms: int | None = None
         monitor.on_cut.append(self._notify)
@@ -146,12 +146,12 @@
         A path that is lost may look the same, so that peers have to see it too, if there are any.
         """
         lifetime = (endpoint.id, endpoint.started_ms)
-        verdict = self._verdicts_by_lifetime.get(lifetime)
-        if verdict is None:
-            verdict = self._tasks.start(self._find_verdict(endpoint))
-            self._verdicts_by_lifetime[lifetime] = verdict
-            verdict.add_done_callback(lambda _: self._verdicts_by_lifetime.pop(lifetime, None))
-        return await asyncio.shield(verdict)
+        check = self._checks_by_lifetime.get(lifetime)
+        if check is None:
+            check = self._tasks.start(self._check_ended(endpoint))
+            self._checks_by_lifetime[lifetime] = check
+            check.add_done_callback(lambda _: self._checks_by_lifetime.pop(lifetime, None))
+        return await asyncio.shield(check)
 
     def apply_notice(self, sender: str, notice: PathStateNotice) -> None:
         """Records that a peer is cut off from all endpoints, or no longer is."""
@@ -191,7 +191,7 @@
             ConnectionFailedError: When no peer can, for another reason.
         """
         peers = _mix_data_centres(self._rank_peers())[:MAX_PEERS_TRIED]
-        witnesses = min(MIN_WITNESSES, len(peers))
+        missing_failures = min(MIN_FAILED_PEERS, len(peers))
         for peer_id, peer in peers:
             try:
                 connection = await self._client.connect(
@@ -199,8 +199,8 @@
                 )
             except TunnelRefusedError as error:
                 if error.reason in ENDPOINT_FAULTS:
-                    witnesses -= 1
-                    if not witnesses:
+                    missing_failures -= 1
+                    if not missing_failures:
                         raise
                 elif error.reason == "connection_limit_reached":
                     self._avoid(peer_id)
@@ -212,9 +212,9 @@
                 return connection
         raise ConnectionFailedError(f"No peer reaches {endpoint.id}.")
 
-    async def _find_verdict(self, endpoint: EndpointRecord) -> bool:
+    async def _check_ended(self, endpoint: EndpointRecord) -> bool:
         """Returns whether this instance and its peers are refused by an endpoint."""
-        timeouts = Timeouts(connect_ms=VERDICT_TIMEOUT_MS)
+        timeouts = Timeouts(connect_ms=CHECK_TIMEOUT_MS)
         try:
             (await self._connect_directly(endpoint, timeouts)).close()
         except ConnectionFailedError as error:
@@ -245,7 +245,7 @@
     async def _find_path(self, endpoint: EndpointRecord) -> None:
         """Records the path to an endpoint as lost if a peer reaches it."""
         try:
-            timeouts = Timeouts(connect_ms=VERDICT_TIMEOUT_MS)
+            timeouts = Timeouts(connect_ms=CHECK_TIMEOUT_MS)
             (await self._connect_through_peer(endpoint, timeouts)).close()
         except ConnectionFailedError as error:
             log(NO_PATH, endpoint=endpoint.id, error=error.detail)
--- a/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
@@ -31,16 +31,13 @@
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.paths.monitor import PathMonitor
 
-MAX_TUNNELS = 200
-"""Maximum number of tunnels that an instance opens for its peers, so that it can serve its own
-callers when a data centre is cut off: a twentieth of the descriptors of a small machine, twice."""
 MAX_HEAD_BYTES = 4_096
 HEAD_TIMEOUT_MS = 1_000
 CONNECT_TIMEOUT_MS = 300
 """Timeout for the connection to the endpoint; below the timeout of the peer that waits for it."""
-MAX_SILENCE_MS = 60_000
-"""Time without bytes in a direction after which a tunnel is closed: above the longest timeout of a
-route, at which the peer closes it."""
+SILENCE_MARGIN_MS = 5_000
+"""Time beyond the longest timeout of a route, at which the peer closes its connection, after which
+a tunnel without bytes in a direction is closed."""
 CHUNK_BYTES = 64 * 1024
 STATUS_BY_REASON = {
     "connection_refused": 502,
@@ -78,6 +75,7 @@
         monitor: PathMonitor,
         find_endpoint: Callable[[Address], EndpointRecord | None],
         accepts: Callable[[EndpointRecord], bool],
+        longest_timeout_ms: Callable[[], int],
     ) -> None:
         """Creates a listener without opening its socket.
 
@@ -87,6 +85,7 @@
             monitor: Tells to which endpoints this instance has lost its own path.
             find_endpoint: Returns the endpoint at an address; None if none is listed there.
             accepts: Returns whether an endpoint wants requests from this instance.
+            longest_timeout_ms: Returns the longest timeout of a route.
         """
         super().__init__()
         self.open_count = 0
@@ -96,11 +95,19 @@
         self._monitor = monitor
         self._find_endpoint = find_endpoint
         self._accepts = accepts
+        self._longest_timeout_ms = longest_timeout_ms
+        self._max_open = 0
         self._streams: set[IOStream] = set()
         self._stopping = False
 
-    def open(self, address: Address) -> int:
-        """Opens the listening socket and returns its port."""
+    def open(self, address: Address, max_open: int) -> int:
+        """Opens the listening socket and returns its port.
+
+        Args:
+            address: Address to listen on.
+            max_open: Maximum number of open tunnels.
+        """
+        self._max_open = max_open
         sockets = bind_sockets(address.port, address.host)
         self.add_sockets(sockets)
         port: int = sockets[0].getsockname()[1]
@@ -169,7 +176,7 @@
             raise _RefusalError("destination_ip_prohibited") from error
         if line.method != "CONNECT" or endpoint is None:
             raise _RefusalError("destination_ip_prohibited")
-        if self._stopping or self.open_count > MAX_TUNNELS:
+        if self._stopping or self.open_count > self._max_open:
             raise _RefusalError("connection_limit_reached")
         if endpoint.id in self._monitor.lost_ids or not self._accepts(endpoint):
             raise _RefusalError("destination_unavailable")
@@ -200,9 +207,10 @@
 
     async def _copy(self, source: IOStream, target: IOStream) -> None:
         """Copies bytes until the source ends, the target is closed, or both are silent."""
+        max_silence_ms = self._longest_timeout_ms() + SILENCE_MARGIN_MS
         while True:
             reading = source.read_bytes(CHUNK_BYTES, partial=True)
-            await target.write(await self._clock.wait_for(reading, MAX_SILENCE_MS))
+            await target.write(await self._clock.wait_for(reading, max_silence_ms))
 
 
 def _write_head(status: int, reason: str = "") -> bytes:
--- a/tests/mastickeel_platform/test_settings_template.py
+++ b/tests/mastickeel_platform/test_settings_template.py
@@ -20,7 +20,7 @@
     "ip": "10.1.0.40",
     "port_range": [7340, 7355],
     "listen": {"frontend": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
-    "limits": {"link_mbps": 10.0, "memory_mb": 200},
+    "limits": {"link_mbps": 10.0, "memory_mb": 200, "max_fds": 4_100},
     "platform": {"address": "10.200.1.7:8223"},
     "bounds": {
         "grace_s": 8,
@@ -89,6 +89,11 @@
         self.assertEqual(settings.sessions.gap_ms, 5_000)
         self.assertEqual(settings.repeats.window_ms, 10_000)
 
+    def test_bound_of_tunnels_follows_the_descriptors(self) -> None:
+        self.assertEqual(self.render_bounds().tunnels.max_open, 205)
+        without = {**FIELDS, "limits": {}}
+        self.assertGreater(parse(render(TEMPLATE.read_text(), without)).tunnels.max_open, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mastickeel_platform/test_store_era.py
+++ b/tests/mastickeel_platform/test_store_era.py
@@ -50,7 +50,7 @@
 
     async def wait_for_era(self) -> None:
         """Waits until the gateway has listed the restored store."""
-        await self.wait_until(lambda: self.gateway._store.era.number == self.store.era)
+        await self.wait_until(lambda: self.gateway.store.era.number == self.store.era)
         lists = self.store.calls.count("GET /kv-range")
         if lists < self.store.era:
             await self.wait_until(lambda: self.store.calls.count("GET /kv-range") >= self.store.era)
@@ -190,12 +190,10 @@
     async def test_era_that_one_instance_learns_is_known_to_all(self) -> None:
         await self.start_fleet(GATEWAY_COUNT)
         first, *others = self.gateways
-        number = (first._store.era.number or 0) + 1
+        number = (first.store.era.number or 0) + 1
         self.store.silent = True
-        first._store.era.observe(number)
-        await self.wait_until(
-            lambda: all(gateway._store.era.number == number for gateway in others)
-        )
+        first.store.era.observe(number)
+        await self.wait_until(lambda: all(gateway.store.era.number == number for gateway in others))
 
 
 class PlatformStoreEraTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/mastickeel_router/gateway/test_settings.py
+++ b/tests/mastickeel_router/gateway/test_settings.py
@@ -41,6 +41,8 @@
         self.assertIn("colour", self.faults(GOOD + 'colour = "red"\n'))
         self.assertIn("repeats.window_ms", self.faults(GOOD + "[repeats]\nwindow_ms = 0\n"))
         self.assertIn("stop.reserve_ms", self.faults(GOOD + "[stop]\ngrace_ms = 400\n"))
+        tunnels = '[tunnels]\nlisten = "127.0.0.1:0"\ndescriptors = 0\n'
+        self.assertIn("tunnels.descriptors", self.faults(GOOD + tunnels))
         self.assertIn("listen", self.faults(GOOD.replace("127.0.0.1:1", "nowhere")))
 
     def test_text_that_is_not_toml_is_reported(self) -> None:
--- a/tests/mastickeel_router/gateway/test_stop.py
+++ b/tests/mastickeel_router/gateway/test_stop.py
@@ -45,7 +45,7 @@
             settings, self.clock, lambda client: make_deployment(client, settings), seed=1
         )
         self.listener = FakeListener()
-        self.gateway._listener = self.as_caller_listener(self.listener)
+        self.gateway.listener = self.as_caller_listener(self.listener)
         self.drain_task = asyncio.ensure_future(self.gateway.drain())
         await self.clock.settle()
 
--- a/tests/mastickeel_router/paths/test_tunnels.py
+++ b/tests/mastickeel_router/paths/test_tunnels.py
@@ -5,7 +5,6 @@
 import asyncio
 import unittest
 from typing import Any
-from unittest.mock import patch
 
 from mastickeel.addresses import Address
 from mastickeel.clock import Clock
@@ -21,6 +20,7 @@
 from mastickeel_router.paths import PathMonitor, TunnelListener
 from tests.mastickeel_platform.standins import RawServer, Request, answer_bytes, reset_connection
 
+MAX_OPEN = 2
 UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\n\r\npart"
 
 
@@ -42,8 +42,10 @@
             monitor=self.monitor,
             find_endpoint=lambda address: self.listed,
             accepts=lambda endpoint: self.accepts,
+            longest_timeout_ms=lambda: 5_000,
         )
-        self.via = Address("127.0.0.1", self.listener.open(Address("127.0.0.1", 0)))
+        port = self.listener.open(Address("127.0.0.1", 0), MAX_OPEN)
+        self.via = Address("127.0.0.1", port)
         self.ends_with_reset: bool | None = None
         """How the endpoint ends an answer without a length; None for an answer with one."""
 
@@ -146,14 +148,13 @@
             writer.write(answer_bytes(request))
 
         self.server.respond = wait
-        with patch("mastickeel_router.paths.tunnels.MAX_TUNNELS", 2):
-            exchanges = [asyncio.create_task(self.exchange()) for _ in range(2)]
-            while len(self.server.requests) < len(exchanges):
-                await asyncio.sleep(0.005)
-            self.assertEqual(await self.refusal(), "connection_limit_reached")
-            waiting.set()
-            await asyncio.gather(*exchanges)
-            self.assertEqual((await self.exchange())[0], b"done")
+        exchanges = [asyncio.create_task(self.exchange()) for _ in range(MAX_OPEN)]
+        while len(self.server.requests) < len(exchanges):
+            await asyncio.sleep(0.005)
+        self.assertEqual(await self.refusal(), "connection_limit_reached")
+        waiting.set()
+        await asyncio.gather(*exchanges)
+        self.assertEqual((await self.exchange())[0], b"done")
 
 
 if __name__ == "__main__":
