Name crashing parts, checks by peers and refusals in the field's words

Cause: names such as convicted, moments, companions, witnesses and verdict, and texts such as falls over and bears, need their author. Measured: the tests of each renamed module pass, and make check.

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -284,9 +284,9 @@
 
 
 def _describe_brittle(state: InstanceState) -> str:
-    """Lists the endpoints that are brittle, with the refusals that they bear."""
+    """Lists the endpoints that are brittle, with the refusals that they tolerate."""
     brittle = [
-        f"{record['endpoint']} bears {record['per_second']} refusals a second"
+        f"{record['endpoint']} tolerates {record['per_second']} refusals a second"
         f" since {record['timestamp']}"
         for record in state.newest_of_kind("brittle")
         if record["event"] == "endpoint_brittle"
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
@@ -37,7 +37,7 @@
 MIN_CONTENTS = 2
 """Different requests that must have crashed with a part: the content of a single one is refused by
 itself."""
-SAME_MOMENT_MS = 200
+SAME_CAUSE_MS = 200
 """Time within which crashes count as one unless the same request was at both endpoints, one after
 the other: endpoints that end together are ended by something else than a prompt."""
 EXPLAINED_SHARE = 0.8
@@ -52,8 +52,8 @@
 """Maximum number of parts of one prompt that are considered."""
 MAX_CONTENTS_KEPT = 16
 """Maximum number of contents that are kept for a crash."""
-MAX_COMPANIONS = 4 * MAX_PARTS
-"""Maximum number of companions that are kept for a crash."""
+MAX_CO_OCCURRING = 4 * MAX_PARTS
+"""Maximum number of co_occurring that are kept for a crash."""
 MAX_ID_LENGTH = 32
 """Length above which the id of a part is replaced by a hash."""
 MAX_RESENT = 100
@@ -90,7 +90,7 @@
     """Id and start time in ms of the endpoint, as ``id/start``."""
     age_ms: int
     """Time since the crash."""
-    companions: tuple[str, ...] = ()
+    co_occurring: tuple[str, ...] = ()
     """Other parts of prompts with these parts, which are not reported here."""
     proven: tuple[str, ...] = ()
     """Those of the parts that had completed before."""
@@ -119,7 +119,7 @@
     at_ms: int
     contents: frozenset[int]
     """Contents of the requests that held the part."""
-    companions: frozenset[str]
+    co_occurring: frozenset[str]
     """Parts of the prompts that held the part."""
 
     def merge(self, other: _Crash) -> _Crash:
@@ -127,7 +127,7 @@
         return _Crash(
             self.at_ms,
             _unite(self.contents, other.contents, MAX_CONTENTS_KEPT),
-            _unite(self.companions, other.companions, MAX_COMPANIONS),
+            _unite(self.co_occurring, other.co_occurring, MAX_CO_OCCURRING),
         )
 
 
@@ -145,16 +145,16 @@
     is_proven: bool = False
     """Whether the part had completed before its first crash."""
     crashes_by_lifetime: dict[str, _Crash] = field(default_factory=dict)
-    moments_ms: list[int] = field(default_factory=list)
+    distinct_crashes_ms: list[int] = field(default_factory=list)
     """Times of the crashes without those that came together with another."""
     tried_ms: int | None = None
     """Time of the last trial on this instance."""
 
     @property
-    def is_convicted(self) -> bool:
+    def exceeds_threshold(self) -> bool:
         """Whether the crashes are too many for a coincidence, unless another part explains them."""
         needed = MIN_CRASHES_PROVEN if self.is_proven else MIN_CRASHES
-        if len(self.moments_ms) < needed:
+        if len(self.distinct_crashes_ms) < needed:
             return False
         contents: set[int] = set()
         return (
@@ -170,11 +170,13 @@
         """
         gaps_ms = (
             later - earlier
-            for earlier, later in zip(self.moments_ms, self.moments_ms[1:], strict=False)
+            for earlier, later in zip(
+                self.distinct_crashes_ms, self.distinct_crashes_ms[1:], strict=False
+            )
         )
         failed = sum(gap_ms >= TRIAL_DELAYS_MS[0] for gap_ms in gaps_ms)
         delay_ms = TRIAL_DELAYS_MS[failed] if failed < len(TRIAL_DELAYS_MS) else CRASH_TTL_MS
-        return max(self.moments_ms[-1], self.tried_ms or 0) + delay_ms
+        return max(self.distinct_crashes_ms[-1], self.tried_ms or 0) + delay_ms
 
     def add(self, lifetime: str, crash: _Crash) -> None:
         """Adds a crash, or what another report shows of a known one; drops the oldest of many."""
@@ -183,12 +185,15 @@
         if len(self.crashes_by_lifetime) > MAX_CRASHES:
             oldest = min(self.crashes_by_lifetime, key=self._crashed_ms)
             del self.crashes_by_lifetime[oldest]
-        self.moments_ms.clear()
+        self.distinct_crashes_ms.clear()
         contents: set[int] = set()
         for one in sorted(self.crashes_by_lifetime.values(), key=lambda one: one.at_ms):
-            is_later = not self.moments_ms or one.at_ms - self.moments_ms[-1] >= SAME_MOMENT_MS
+            is_later = (
+                not self.distinct_crashes_ms
+                or one.at_ms - self.distinct_crashes_ms[-1] >= SAME_CAUSE_MS
+            )
             if is_later or not contents.isdisjoint(one.contents):
-                self.moments_ms.append(one.at_ms)
+                self.distinct_crashes_ms.append(one.at_ms)
                 contents.clear()
             contents |= one.contents
 
@@ -203,8 +208,8 @@
         common = crashes.keys() & other.crashes_by_lifetime.keys()
         if self.is_proven:
             return len(common) >= EXPLAINED_SHARE * len(crashes)
-        if len(self.moments_ms) >= MIN_CRASHES_PROVEN:
-            return all(other.key in crash.companions for crash in crashes.values())
+        if len(self.distinct_crashes_ms) >= MIN_CRASHES_PROVEN:
+            return all(other.key in crash.co_occurring for crash in crashes.values())
         return len(common) == len(crashes)
 
     def _crashed_ms(self, lifetime: str) -> int:
@@ -234,7 +239,7 @@
     @property
     def refused_parts(self) -> list[str]:
         """Keys of the parts that are refused in a prompt without other suspected parts."""
-        return [part for part, one in self._suspects_by_part.items() if one.is_convicted]
+        return [part for part, one in self._suspects_by_part.items() if one.exceeds_threshold]
 
     def is_suspected(self, parts: Sequence[str]) -> bool:
         """Returns whether one of these parts was in a crash since it last completed."""
@@ -260,7 +265,7 @@
         if now >= next_trial_ms and self._rank_of(refused[0].key) == 0:
             for suspect in refused:
                 suspect.tried_ms = now
-                log(PART_TRIED, part=suspect.key, crashes=len(suspect.moments_ms))
+                log(PART_TRIED, part=suspect.key, crashes=len(suspect.distinct_crashes_ms))
             return
         raise PartRefusedError(
             f"Prompts with part {refused[0].key} are refused.",
@@ -287,8 +292,8 @@
         """Records a reported crash for each of its parts that has not completed since."""
         crashed_ms = self._clock.now() - report.age_ms
         contents = frozenset(report.contents[:MAX_CONTENTS_KEPT])
-        companions = frozenset((*report.parts, *report.companions)[:MAX_COMPANIONS])
-        crash = _Crash(crashed_ms, contents, companions)
+        co_occurring = frozenset((*report.parts, *report.co_occurring)[:MAX_CO_OCCURRING])
+        crash = _Crash(crashed_ms, contents, co_occurring)
         for part in report.parts[:MAX_PARTS]:
             completed_ms = self._completed_ms_by_part.get(part)
             if completed_ms is not None and crashed_ms <= completed_ms:
@@ -297,9 +302,9 @@
             if suspect is None:
                 suspect = self._suspects_by_part[part] = _Suspect(part)
             suspect.is_proven |= completed_ms is not None or part in report.proven
-            was_convicted = suspect.is_convicted
+            exceeded_before = suspect.exceeds_threshold
             suspect.add(report.lifetime, crash)
-            if suspect.is_convicted and not was_convicted:
+            if suspect.exceeds_threshold and not exceeded_before:
                 log(PART_REFUSED, part=part, endpoints=list(suspect.crashes_by_lifetime))
         while len(self._suspects_by_part) > MAX_SUSPECTS:
             del self._suspects_by_part[next(iter(self._suspects_by_part))]
@@ -324,10 +329,10 @@
 
     def _is_refused(self, suspect: _Suspect, parts: Collection[str]) -> bool:
         """Returns whether a prompt is refused for a part: no part outside of it is the cause."""
-        return suspect.is_convicted and not any(
+        return suspect.exceeds_threshold and not any(
             suspect.is_explained_by(other)
             for other in self._suspects_by_part.values()
-            if other.key not in parts and other.is_convicted
+            if other.key not in parts and other.exceeds_threshold
         )
 
     def _clear(self, parts: Sequence[str]) -> list[str]:
@@ -340,8 +345,8 @@
             if suspect is None:
                 continue
             suspected.append(part)
-            if suspect.is_convicted:
-                log(PART_CLEARED, part=part, crashes=len(suspect.moments_ms))
+            if suspect.exceeds_threshold:
+                log(PART_CLEARED, part=part, crashes=len(suspect.distinct_crashes_ms))
         while len(self._completed_ms_by_part) > MAX_PROVEN:
             self._completed_ms_by_part.popitem(last=False)
         return suspected
@@ -349,7 +354,7 @@
     def _active_suspect(self, part: str) -> _Suspect | None:
         """Returns the crashes of a part, or None if it has none that still count."""
         suspect = self._suspects_by_part.get(part)
-        if suspect and suspect.moments_ms[-1] + CRASH_TTL_MS <= self._clock.now():
+        if suspect and suspect.distinct_crashes_ms[-1] + CRASH_TTL_MS <= self._clock.now():
             del self._suspects_by_part[part]
             return None
         return suspect
@@ -362,10 +367,10 @@
         now = self._clock.now()
         parts_by_crash: dict[tuple[str, _Crash], list[str]] = {}
         for part, suspect in self._suspects_by_part.items():
-            if len(suspect.moments_ms) < 2 or self._rank_of(part) >= RESENDERS:
+            if len(suspect.distinct_crashes_ms) < 2 or self._rank_of(part) >= RESENDERS:
                 continue
             for lifetime, crash in suspect.crashes_by_lifetime.items():
-                if suspect.is_convicted or now - crash.at_ms < RESEND_FOR_MS:
+                if suspect.exceeds_threshold or now - crash.at_ms < RESEND_FOR_MS:
                     parts_by_crash.setdefault((lifetime, crash), []).append(part)
         newest = sorted(parts_by_crash.items(), key=lambda item: -item[0][1].at_ms)[:MAX_RESENT]
         return [
@@ -374,7 +379,7 @@
                 tuple(crash.contents),
                 lifetime,
                 now - crash.at_ms,
-                tuple(crash.companions.difference(parts)),
+                tuple(crash.co_occurring.difference(parts)),
                 tuple(part for part in parts if self._suspects_by_part[part].is_proven),
             )
             for (lifetime, crash), parts in newest
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/admissions.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/admissions.py
@@ -1,7 +1,7 @@
-"""Bounds how many requests brittle endpoints have to turn away, over the whole fleet.
+"""Bounds how many requests brittle endpoints have to reject, over the whole fleet.
 
 An endpoint that is full refuses a request within milliseconds. A send to a brittle endpoint counts
-against the refusals that the endpoint bears until it is known not to be refused. One instance
+against the refusals that the endpoint tolerates until it is known not to be refused. One instance
 counts the sends of the whole fleet to an endpoint, as for permits.
 """
 
@@ -62,7 +62,7 @@
     started_ms: int
     """Unix time of the endpoint's start."""
     tolerance: float
-    """Refusals a second that the endpoint bears."""
+    """Refusals a second that the endpoint tolerates."""
 
 
 @message("admission_reply")
@@ -79,7 +79,7 @@
 @message("admission_outcome")
 @dataclass(frozen=True)
 class AdmissionOutcome:
-    """Tells whether an allowed send was refused for want of room."""
+    """Tells whether an allowed send was refused for lack of room."""
 
     endpoint: str
     started_ms: int
@@ -119,7 +119,7 @@
         self._windows: OrderedDict[tuple[str, int], _Window] = OrderedDict()
 
     def admit(self, request: AdmissionRequest) -> AdmissionReply:
-        """Allows a send if the endpoint bears its refusal with all others that may come."""
+        """Allows a send if its refusal, with all others that may come, is tolerated."""
         now = self._clock.now()
         key = (request.endpoint, request.started_ms)
         window = self._windows.get(key)
@@ -176,7 +176,7 @@
 
         Args:
             clock: Times denials.
-            tolerances: Refusals a second that endpoints bear, as far as they say so.
+            tolerances: Refusals a second that endpoints tolerate, as far as they say so.
             counter: Counts the sends to endpoints that this instance counts.
             instance_id: Id of this instance.
             link: Connections to the peers; None without peers.
@@ -206,7 +206,7 @@
         return self._tolerance_of(endpoint) is not None
 
     def _tolerance_of(self, endpoint: EndpointRecord) -> float | None:
-        """Returns the refusals a second that an endpoint bears; None if it is not brittle.
+        """Returns the refusals a second that an endpoint tolerates; None if it is not brittle.
 
         One that has not answered yet is taken to be like the others of its service.
         """
@@ -246,7 +246,7 @@
         return Admission(endpoint, reply.number, counter_id), 0
 
     def settle(self, admission: Admission, *, refused: bool) -> None:
-        """Reports whether an admitted send was refused for want of room."""
+        """Reports whether an admitted send was refused for lack of room."""
         endpoint = admission.endpoint
         outcome = AdmissionOutcome(endpoint.id, endpoint.started_ms, admission.number, refused)
         if admission.counter_id == self._instance_id:
--- a/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
+++ b/packages/mastickeel_router/src/mastickeel_router/ratelimits/limits.py
@@ -40,7 +40,7 @@
     2400,
     "endpoint_brittle",
     "warning",
-    "An endpoint falls over when it has to turn more requests a second away than this.",
+    "An endpoint fails when it has to reject more requests a second than this.",
 )
 BRITTLE_LIFTED = define_event(
     2401, "endpoint_brittle_lifted", "info", "An endpoint no longer says that it is brittle."
@@ -62,7 +62,7 @@
 @message("endpoint_brittle")
 @dataclass(frozen=True)
 class EndpointBrittleNotice(EndpointLimitNotice):
-    """Notification to peers that an endpoint bears few refusals a second, or no longer says so."""
+    """Notification to peers that an endpoint tolerates few refusals a second, or no more."""
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -124,7 +124,7 @@
     availability: EndpointAvailability
     """What endpoints have said about taking further requests."""
     tolerances: EndpointLimits
-    """Refusals a second that brittle endpoints have said they bear."""
+    """Refusals a second that brittle endpoints tolerate."""
     admissions: SendAdmissions
     """Admissions of sends to brittle endpoints."""
     permits: SendPermits
--- a/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/placing.py
@@ -44,7 +44,7 @@
     """Raised when every endpoint is brittle and may not be sent another request in time."""
 
     code = "endpoints_brittle"
-    title = "The service's endpoints cannot turn away more requests without failing."
+    title = "The service's endpoints cannot reject more requests without failing."
 
 
 class Placer:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/types.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/types.py
@@ -121,8 +121,7 @@
     rate_limit: float | None = None
     """Requests a second that the endpoint accepts from all instances; None when it names none."""
     refusal_tolerance: float | None = None
-    """Requests a second that the endpoint bears to turn away from all instances; None when it does
-    not say."""
+    """Refusals a second that the endpoint tolerates from all instances; None when it names none."""
     leaving: bool = False
     """Whether the endpoint says that it is about to leave."""
     away_ms: int | None = None
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -85,7 +85,7 @@
             line(3, "endpoint_brittle_lifted", endpoint="e2"),
             request_end(4, "refused", code="endpoints_brittle"),
         )
-        self.assertIn("e1 bears 2.0 refusals a second since 2026-09-20T22:07:01", cause)
+        self.assertIn("e1 tolerates 2.0 refusals a second since 2026-09-20T22:07:01", cause)
         self.assertNotIn("e2", cause)
 
     def test_instance_that_is_cut_off(self) -> None:
--- a/tests/mastickeel_router/paths/test_paths.py
+++ b/tests/mastickeel_router/paths/test_paths.py
@@ -213,11 +213,11 @@
             self.assertTrue(await self.paths.has_ended(endpoint))
         self.assertEqual(self.monitor.lost_ids, set())
 
-    async def test_questions_at_the_same_time_share_a_verdict(self) -> None:
+    async def test_questions_at_the_same_time_share_a_check(self) -> None:
         self.failures[None] = refused()
         self.peers.clear()
-        verdicts = await asyncio.gather(*(self.paths.has_ended(ENDPOINTS[0]) for _ in range(9)))
-        self.assertEqual((verdicts, self.calls), ([True] * 9, [None]))
+        results = await asyncio.gather(*(self.paths.has_ended(ENDPOINTS[0]) for _ in range(9)))
+        self.assertEqual((results, self.calls), ([True] * 9, [None]))
 
 
 if __name__ == "__main__":
--- a/tests/mastickeel_router/quarantine/test_parts.py
+++ b/tests/mastickeel_router/quarantine/test_parts.py
@@ -85,13 +85,13 @@
             self.crash("bad")
         self.assertEqual([self.refuses(one) for one in ("first", "bad")], [False, True])
 
-    def test_crashes_of_a_single_content_convict_no_part(self) -> None:
+    def test_crashes_of_a_single_content_do_not_refuse_a_part(self) -> None:
         for number in range(MIN_CRASHES_PROVEN):
             self.parts.record_crash(["first"], 1, f"e{number}/1")
             step(self.clock, 1_000)
         self.assertFalse(self.refuses("first"))
 
-    def test_endpoints_that_end_together_convict_no_part(self) -> None:
+    def test_endpoints_that_end_together_do_not_refuse_a_part(self) -> None:
         for _ in range(MIN_CRASHES_PROVEN):
             self.crash("first sound", "first other", pause_ms=10)
         self.assertFalse(self.refuses("first sound"))
