--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
@@ -5,12 +5,23 @@
 import math
 import time
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from mastickeel_router.gateway.gateway import Gateway
+    from mastickeel_router.availability import EndpointAvailability
+    from mastickeel_router.discovery import EndpointRegistry
+    from mastickeel_router.gateway.counted_store import CountedStore
+    from mastickeel_router.gateway.metrics import GatewayMetrics
+    from mastickeel_router.paths import EndpointPaths, PathMonitor, TunnelListener
+    from mastickeel_router.quarantine.parts import PartSuspicions
+    from mastickeel_router.ratelimits import EndpointLimits, SendAdmissions
+    from mastickeel_router.relay import CallerListener
+    from mastickeel_router.relay.budget import RetryBudget
+    from mastickeel_router.relay.memory import AnswerMemory
+    from mastickeel_router.releases import Releases
+    from mastickeel_router.routes import RouteTable
 
 PEER_COUNTERS = {
     "sent": "Messages sent to other instances",
@@ -22,7 +33,31 @@
 """Counters of the peer link that are shown as gauges, with their descriptions."""
 
 
-def add_gauges(gateway: Gateway, peer_totals: Mapping[str, int]) -> None:
+class GaugedComponents(Protocol):
+    """Components of a gateway whose state the gauges show."""
+
+    metrics: GatewayMetrics
+    listener: CallerListener
+    registry: EndpointRegistry
+    table: RouteTable
+    store: CountedStore
+    releases: Releases
+    budget: RetryBudget
+    limits: EndpointLimits
+    availability: EndpointAvailability
+    admissions: SendAdmissions
+    answer_memory: AnswerMemory
+    crashing_parts: PartSuspicions
+    path_monitor: PathMonitor
+    paths: EndpointPaths
+    tunnels: TunnelListener
+
+    @property
+    def ready(self) -> bool:
+        """Whether the load balancer may send new connections."""
+
+
+def add_gauges(gateway: GaugedComponents, peer_totals: Mapping[str, int]) -> None:
     """Adds the gauges of a gateway to its metrics.
 
     Args:
@@ -103,13 +138,13 @@
         )
 
 
-def _count_limited(gateway: Gateway) -> int:
+def _count_limited(gateway: GaugedComponents) -> int:
     """Returns the number of listed endpoints that have a rate limit."""
     limits = map(gateway.limits.limit_of, gateway.registry.all())
     return sum(limit is not None for limit in limits)
 
 
-def _measure_silence(gateway: Gateway) -> float:
+def _measure_silence(gateway: GaugedComponents) -> float:
     """Returns the time since the store's last answer, in seconds; infinite before the first."""
     age_ms = gateway.store.age_ms()
     return math.inf if age_ms is None else age_ms / 1_000
