--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -234,7 +234,6 @@
         self.table.on_change.append(
             lambda configuration: self.listener.apply_limits(configuration.limits)
         )
-        add_gauges(self, self._peer_metrics.totals_by_name)
         self._metrics_listener = PageListener(METRICS_PATH, self.metrics.render_page)
         self._dispatcher = Dispatcher(self._make_context())
         self.listener = CallerListener(
@@ -244,6 +243,7 @@
         self._health_listener = PageListener(
             settings.health.path, lambda: Page(200 if self.ready else 503)
         )
+        add_gauges(self, self._peer_metrics.totals_by_name)
 
     @property
     def ready(self) -> bool:
