--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -206,7 +206,8 @@
             error_type = ExchangeTimeoutError if self.timed_out else ExchangeBrokenError
             # The query string may contain private data and is left out of errors and logs.
             path = request.path.partition("?")[0]
-            detail = f"{request.method} {path} at {self.address} did not end ({self.end.value})."
+            detail = f"{request.method} {path} at {self.address} did not end ({self.end.value}"
+            detail += ", kept connection)." if self.reused else ")."
             raise error_type(detail)
 
     async def _skip_foreign_answers(self, receiver: _Receiver) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -32,6 +32,12 @@
     "warning",
     "A watch's revision was compacted; the key prefix is listed again.",
 )
+READ_FAILED = define_event(
+    2311,
+    "store_read_failed",
+    "info",
+    "A list or a watch failed after the time in the record; it is repeated after the delay there.",
+)
 
 
 @dataclass(frozen=True)
@@ -113,8 +119,7 @@
             log(HISTORY_LOST, prefix=prefix, revision=follower.revision, error=str(error))
             follower.revision = None
         except StoreError as error:
-            follower.record_outage(error)
-            await follower.backoff.wait()
+            await follower.wait_after_failure(error)
 
 
 class _Follower:
@@ -132,10 +137,12 @@
         self._clock = clock
         self._down = False
         self._era: int | None = None
+        self._call_began_ms = 0
 
     async def run(self) -> None:
         """Lists the prefix if no revision is known, then watches it until the watch ends."""
         era = self._store.era
+        self._call_began_ms = self._clock.now()
         if self._era != era.number:
             self.revision = None
         if self.revision is None:
@@ -156,9 +163,23 @@
             elif has_changes:
                 has_changes = False
                 await self._clock.sleep(WATCH_BATCH_INTERVAL_MS)
-
-    def record_outage(self, error: StoreError) -> None:
-        """Records that the store did not answer; logs only the start of an outage."""
+                self._call_began_ms = self._clock.now()
+
+    async def wait_after_failure(self, error: StoreError) -> None:
+        """Records that the store did not answer, and waits before the next call."""
+        delay_ms = self.backoff.next_delay_ms()
+        log(
+            READ_FAILED,
+            revision=self.revision,
+            duration_ms=self._clock.now() - self._call_began_ms,
+            delay_ms=round(delay_ms),
+            error=error.detail,
+        )
+        self._record_outage(error)
+        await self._clock.sleep(delay_ms)
+
+    def _record_outage(self, error: StoreError) -> None:
+        """Records the start of an outage."""
         if not self._down:
             self._down = True
             log(STORE_DOWN, prefix=self._prefix, revision=self.revision, error=str(error))
@@ -166,6 +187,7 @@
 
     def _record_answer(self) -> None:
         self.backoff.reset()
+        self._call_began_ms = self._clock.now()
         if self._down:
             self._down = False
             log(STORE_UP, prefix=self._prefix, revision=self.revision)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
@@ -50,6 +50,7 @@
                 code=error.code,
                 detail=error.detail,
                 version=context.table.version,
+                store_age_ms=context.store_age_ms(),
             )
             context.on_error_reply(error.code)
             await send_error(context.dialect, error, request_id, responder)
