--- a/tests/mastickeel_platform/gateway_case.py
+++ b/tests/mastickeel_platform/gateway_case.py
@@ -14,6 +14,7 @@
     RawServer,
     Reply,
     Request,
+    StoreAccess,
     call,
     configuration,
     entry,
@@ -117,15 +118,18 @@
 
 
 class FleetTestCase(GatewayTestCase):
-    """Several gateways with one store."""
+    """Several gateways with one store, each with an access of its own."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.gateways: list[Gateway] = []
+        self.accesses: list[StoreAccess] = []
 
     async def asyncTearDown(self) -> None:
         for gateway in self.gateways:
             await gateway.stop()
+        for access in self.accesses:
+            await access.server.stop()
         await super().asyncTearDown()
 
     async def start_fleet(self, count: int) -> None:
@@ -138,7 +142,9 @@
 
     async def add_gateway(self, number: int) -> Gateway:
         """Starts one gateway, named edge-`number`."""
-        text = SETTINGS.format(port=self.store.server.port).replace("edge-1", f"edge-{number}")
+        access = StoreAccess(self.store)
+        self.accesses.append(access)
+        text = SETTINGS.format(port=await access.server.start()).replace("edge-1", f"edge-{number}")
         settings = parse(text + PEERS)
         gateway = Gateway(
             settings, Clock(), lambda client: make_deployment(client, settings), seed=number
--- a/tests/mastickeel_platform/standins.py
+++ b/tests/mastickeel_platform/standins.py
@@ -179,6 +179,8 @@
     """Status of the reply to every call; 0 to execute calls."""
     silent: bool = False
     """Whether calls are left unanswered."""
+    watches_silent: bool = False
+    """Whether watches alone are left unanswered, also those that wait."""
     page_size: int = 500
     leases: dict[int, int] = field(default_factory=dict)
     era: int = 1
@@ -233,15 +235,23 @@
         self.calls.append(f"{request.method} {urlsplit(request.target).path}")
         if self.silent:
             await asyncio.Event().wait()
-        status, body = self.refusal_status, {"error": "refused"}
-        if not self.refusal_status:
-            status, body = await self._handle(request)
+        answer = await self.answer(request, self.refusal_status)
+        if self.watches_silent and "/kv-watch" in request.target:
+            await asyncio.Event().wait()
+        writer.write(answer)
+
+    async def answer(self, request: Request, refusal_status: int = 0) -> bytes:
+        """Executes a call, unless it is refused; returns the bytes of the answer."""
+        status, body = refusal_status, {"error": "refused"}
+        if not refusal_status:
+            status, body = await self.execute(request)
         data = json.dumps(body).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
         head += f"Store-Era: {self.era}\r\n"
-        writer.write(head.encode() + f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+        return head.encode() + f"Content-Length: {len(data)}\r\n\r\n".encode() + data
 
-    async def _handle(self, request: Request) -> tuple[int, dict[str, Any]]:
+    async def execute(self, request: Request, *, waits: bool = True) -> tuple[int, dict[str, Any]]:
+        """Executes a call; returns status and body. A watch without `waits` is answered at once."""
         url = urlsplit(request.target)
         query = {
             name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()
@@ -253,7 +263,7 @@
         if url.path == "/kv-range":
             return 200, self._range(query)
         if url.path == "/kv-watch":
-            return await self._watch(query)
+            return await self._watch(query, WATCH_POLLS if waits else 0)
         if url.path == "/kv-txn":
             return self._txn(body)
         if url.path == "/kv-lease":
@@ -280,9 +290,9 @@
         more = len(keys) > self.page_size
         return {"items": page, "more_pages": more, "store_revision": self.revision}
 
-    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    async def _watch(self, query: dict[str, str], polls: int) -> tuple[int, dict[str, Any]]:
         after = int(query["after_revision"])
-        for pause_s in (*[WATCH_POLL_S] * WATCH_POLLS, 0):
+        for pause_s in (*[WATCH_POLL_S] * polls, 0):
             if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             events = [
@@ -317,6 +327,41 @@
         return 200, {"revision": self.revision}
 
 
+@dataclass
+class StoreAccess:
+    """Access of one instance to the store, with faults of its own."""
+
+    store: FakeStore
+    silent: bool = False
+    """Whether calls are left unanswered, also those that wait."""
+    watches_silent: bool = False
+    """Whether watches alone are left unanswered."""
+    refusal_status: int = 0
+    """Status of the reply to every call; 0 to execute calls."""
+    writes_allowed: asyncio.Event = field(default_factory=asyncio.Event)
+    """Set unless writes are executed late and not answered."""
+
+    def __post_init__(self) -> None:
+        self.server = RawServer(self._respond)
+        self.writes_allowed.set()
+
+    async def _respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        path = urlsplit(request.target).path
+        await self._hang_if_silent(path)
+        is_late = path == "/kv-txn" and not self.writes_allowed.is_set()
+        if is_late:
+            await self.writes_allowed.wait()
+        answer = await self.store.answer(request, self.refusal_status)
+        if is_late:
+            await asyncio.Event().wait()
+        await self._hang_if_silent(path)
+        writer.write(answer)
+
+    async def _hang_if_silent(self, path: str) -> None:
+        if self.silent or (self.watches_silent and path == "/kv-watch"):
+            await asyncio.Event().wait()
+
+
 def entry(port: int, **changes: Any) -> dict[str, Any]:
     """Returns an endpoint's entry."""
     fields = {
--- a/tests/mastickeel_platform/test_store.py
+++ b/tests/mastickeel_platform/test_store.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
-from typing import TYPE_CHECKING
 from unittest import mock
 
 from mastickeel.addresses import Address
@@ -19,9 +19,6 @@
 from mastickeel_platform.store import PlatformStore
 from tests.mastickeel_platform.standins import FakeStore, RawServer, Request
 
-if TYPE_CHECKING:
-    import asyncio
-
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """Calls and statuses of the platform's store API."""
@@ -86,6 +83,29 @@
                 break
         self.assertEqual(seen, [b"1", "p/a", b"2"])
 
+    async def test_call_after_a_timeout_goes_out_on_another_silent_connection(self) -> None:
+        self.platform.put("a", b"1")
+        server, hung = self.platform.server, asyncio.Event()
+        both_open = asyncio.Barrier(2)
+
+        async def respond_to_both(request: Request, writer: asyncio.StreamWriter) -> None:
+            await both_open.wait()
+            writer.write(await self.platform.answer(request))
+
+        answer, server.respond = server.respond, respond_to_both
+        await asyncio.gather(self.store.get("a"), self.store.get("a"))
+        open_writers = set(server._writers)
+
+        async def respond_on_new(request: Request, writer: asyncio.StreamWriter) -> None:
+            if writer in open_writers:
+                await hung.wait()
+            await answer(request, writer)
+
+        server.respond = respond_on_new
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.get("a")
+        self.assertIsNotNone(await self.store.get("a"))
+
     async def test_watch_from_a_compacted_revision(self) -> None:
         start = self.platform.revision
         self.platform.put("p/a", b"1")
