Close idle connections to a server after a call on one of them timed out

A timeout now closes the idle connections to that server, so that the next call opens a new one. test_call_after_a_timeout_goes_out_on_another_silent_connection failed before and passes.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -502,9 +502,14 @@
         connection = await self.connect(address, timeouts=timeouts)
         heads: list[HttpHead] = []
         body = LimitedBody(limit_bytes)
-        await connection.exchange(
-            request, on_head=heads.append, on_data=body.append, timeouts=timeouts
-        )
+        try:
+            await connection.exchange(
+                request, on_head=heads.append, on_data=body.append, timeouts=timeouts
+            )
+        except ExchangeTimeoutError:
+            # What silenced this connection may have silenced the idle ones to the same server.
+            self._close_idle(address)
+            raise
         if heads[-1].headers.get("Connection", "").lower() == "close":
             connection.close()
         self.release(connection)
@@ -544,6 +549,11 @@
             connection.close()
         return None
 
+    def _close_idle(self, address: Address) -> None:
+        """Closes the idle connections to a server."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
     async def _sweep(self) -> None:
         """Closes connections whose deadline has passed or that were idle for too long."""
         while True:
@@ -553,7 +563,7 @@
                 if connection.deadline_ms is not None and now >= connection.deadline_ms:
                     connection.timed_out = True
                     connection.close()
-            for idle in self._idle_by_address.values():
+            for idle in list(self._idle_by_address.values()):
                 while idle and now - idle[0].idle_since_ms >= MAX_IDLE_MS:
                     idle.popleft().close()
 
