Notice the return of a silent store in time

Cause: a watch that the store swallowed just before its return held the only path for 2.8 s, and the next call began after a delay that had grown to 0.8 s with the failures before, so that an instance in contact for 3 s did not know what was acknowledged.

--- a/packages/mastickeel/src/mastickeel/storeport.py
+++ b/packages/mastickeel/src/mastickeel/storeport.py
@@ -53,5 +53,18 @@
     async def revoke(self, lease: int) -> None:
         """Revokes a lease and deletes its keys."""
 
-    def watch(self, prefix: str, revision: int) -> AsyncIterator[WatchBatch]:
-        """Watches all keys with a prefix from a revision on."""
+
+class WatchableStore(Store, Protocol):
+    """A store whose watch can be made to show at once whether the store answers."""
+
+    def watch(
+        self, prefix: str, revision: int, *, probe_timeout_ms: int | None = None
+    ) -> AsyncIterator[WatchBatch]:
+        """Watches all keys with a prefix from a revision on.
+
+        Args:
+            prefix: Prefix of the keys.
+            revision: First revision of interest.
+            probe_timeout_ms: Time within which a first answer has to arrive, if only to say that
+                there are no changes; None to wait for changes as usual.
+        """
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -16,7 +16,7 @@
 
     from mastickeel._kvtypes import KeyValue, RangeResult, WatchBatch
     from mastickeel.clock import Clock
-    from mastickeel.storeport import Store
+    from mastickeel.storeport import WatchableStore
 
 FIRST_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 800
@@ -26,6 +26,10 @@
 with the next poll. A tenth of the shortest time within which a change must be in force, two
 seconds."""
 
+PROBE_TIMEOUT_MS = 400
+"""Timeout of the first watch that returns at once; doubles with each that is not answered."""
+MAX_DOUBLINGS = 4
+
 HISTORY_LOST = define_event(
     2310,
     "store_history_lost",
@@ -100,7 +104,7 @@
 
 
 async def follow_prefix(
-    store: Store, prefix: str, handler: WatchHandler, *, clock: Clock, rng: random.Random
+    store: WatchableStore, prefix: str, handler: WatchHandler, *, clock: Clock, rng: random.Random
 ) -> None:
     """Follows all keys with a prefix until cancelled.
 
@@ -111,50 +115,71 @@
         clock: Times the backoff after failures.
         rng: Adds jitter to the backoff, so that the fleet does not retry at once.
     """
-    follower = _Follower(store, prefix, handler, clock, rng)
-    while True:
-        try:
-            await follower.run()
-        except StoreCompactedError as error:
-            log(HISTORY_LOST, prefix=prefix, revision=follower.revision, error=str(error))
-            follower.revision = None
-        except StoreError as error:
-            await follower.wait_after_failure(error)
+    await StoreFollower(store, prefix, handler, clock, rng).run()
+
 
+class StoreFollower:
+    """Lists and watches one key prefix, and remembers the revision read so far.
 
-class _Follower:
-    """Lists and watches one key prefix, and remembers the revision read so far."""
+    A watch that was given up may have been lost alone, or with its connection, or with the store.
+    Until one is answered again, watches that return at once and, while these are lost, lists take
+    turns, so that the return of the store does not wait for the timeout of a long call.
+    """
 
     def __init__(
-        self, store: Store, prefix: str, handler: WatchHandler, clock: Clock, rng: random.Random
+        self,
+        store: WatchableStore,
+        prefix: str,
+        handler: WatchHandler,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
+        """Creates the follower; see ``follow_prefix`` for the arguments."""
         self.revision: int | None = None
         """Newest revision that has been read; None to list the prefix first."""
-        self.backoff = Backoff(clock, rng, first_ms=FIRST_BACKOFF_MS, max_ms=MAX_BACKOFF_MS)
+        self._backoff = Backoff(clock, rng, first_ms=FIRST_BACKOFF_MS, max_ms=MAX_BACKOFF_MS)
         self._store = store
         self._prefix = prefix
         self._handler = handler
         self._clock = clock
         self._down = False
         self._era: int | None = None
-        self._call_began_ms = 0
+        self._call_began_ms = clock.now()
+        self._unanswered_watches = 0
+        self._must_list = False
+        self._is_watching = False
 
     async def run(self) -> None:
-        """Lists the prefix if no revision is known, then watches it until the watch ends."""
-        era = self._store.era
+        """Follows the prefix until cancelled."""
+        while True:
+            try:
+                await self._read()
+            except StoreCompactedError as error:
+                log(HISTORY_LOST, prefix=self._prefix, revision=self.revision, error=str(error))
+                self.revision = None
+            except StoreError as error:
+                await self._wait_after_failure(error)
+
+    async def _read(self) -> None:
+        """Lists the prefix if necessary, then watches it until the watch ends."""
         self._call_began_ms = self._clock.now()
-        if self._era != era.number:
+        self._is_watching = False
+        if self._era != self._store.era.number:
             self.revision = None
-        if self.revision is None:
-            listed: RangeResult = await self._store.range(self._prefix, prefix=True)
-            self._record_answer()
-            if self._era is not None and self._era != era.number:
-                self._handler.on_new_era()
-            self._era = era.number
-            self._handler.on_list(listed.items, listed.revision)
-            self.revision = listed.revision
+        if self.revision is None or self._must_list:
+            self._must_list = False
+            await self._list()
+            self._call_began_ms = self._clock.now()
+        assert self.revision is not None
+        probe_timeout_ms = None
+        if self._unanswered_watches:
+            probe_timeout_ms = PROBE_TIMEOUT_MS << min(self._unanswered_watches - 1, MAX_DOUBLINGS)
+        self._is_watching = True
         has_changes = False
-        async for batch in self._store.watch(self._prefix, self.revision + 1):
+        async for batch in self._store.watch(
+            self._prefix, self.revision + 1, probe_timeout_ms=probe_timeout_ms
+        ):
+            self._unanswered_watches = 0
             self._record_answer()
             self._apply(batch)
             self.revision = max(self.revision, batch.revision)
@@ -163,31 +188,45 @@
             elif has_changes:
                 has_changes = False
                 await self._clock.sleep(WATCH_BATCH_INTERVAL_MS)
-                self._call_began_ms = self._clock.now()
+            self._call_began_ms = self._clock.now()
 
-    async def wait_after_failure(self, error: StoreError) -> None:
-        """Records that the store did not answer, and waits before the next call."""
-        delay_ms = self.backoff.next_delay_ms()
+    async def _list(self) -> None:
+        """Reads all keys of the prefix."""
+        era = self._store.era
+        listed: RangeResult = await self._store.range(self._prefix, prefix=True)
+        self._record_answer()
+        if self._era is not None and self._era != era.number:
+            self._handler.on_new_era()
+        self._era = era.number
+        self._handler.on_list(listed.items, listed.revision)
+        self.revision = listed.revision
+
+    async def _wait_after_failure(self, error: StoreError) -> None:
+        """Records that the store did not answer, and waits before the next call.
+
+        The delay counts from the begin of the call, as one that was lost has waited already.
+        """
+        duration_ms = self._clock.now() - self._call_began_ms
+        if self._is_watching:
+            self._is_watching = False
+            self._unanswered_watches += 1
+            self._must_list = duration_ms >= PROBE_TIMEOUT_MS
+        delay_ms = max(0.0, self._backoff.next_delay_ms() - duration_ms)
         log(
             READ_FAILED,
             revision=self.revision,
-            duration_ms=self._clock.now() - self._call_began_ms,
+            duration_ms=duration_ms,
             delay_ms=round(delay_ms),
             error=error.detail,
         )
-        self._record_outage(error)
-        await self._clock.sleep(delay_ms)
-
-    def _record_outage(self, error: StoreError) -> None:
-        """Records the start of an outage."""
         if not self._down:
             self._down = True
             log(STORE_DOWN, prefix=self._prefix, revision=self.revision, error=str(error))
             self._handler.on_outage()
+        await self._clock.sleep(delay_ms)
 
     def _record_answer(self) -> None:
-        self.backoff.reset()
-        self._call_began_ms = self._clock.now()
+        self._backoff.reset()
         if self._down:
             self._down = False
             log(STORE_UP, prefix=self._prefix, revision=self.revision)
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/counted_store.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/counted_store.py
@@ -12,7 +12,7 @@
     from mastickeel import _kvtypes as kv
     from mastickeel.clock import Clock
     from mastickeel.storeera import StoreEra
-    from mastickeel.storeport import Store
+    from mastickeel.storeport import WatchableStore
 
 R = TypeVar("R")
 
@@ -20,7 +20,9 @@
 class CountedStore:
     """Forwards every call to a store, and counts the call by kind and result."""
 
-    def __init__(self, store: Store, clock: Clock, on_call: Callable[[str, str], None]) -> None:
+    def __init__(
+        self, store: WatchableStore, clock: Clock, on_call: Callable[[str, str], None]
+    ) -> None:
         """Wraps a store.
 
         Args:
@@ -71,9 +73,11 @@
         """Revokes a lease and deletes its keys."""
         await self._count_call("revoke", self._store.revoke(lease))
 
-    async def watch(self, prefix: str, revision: int) -> AsyncIterator[kv.WatchBatch]:
+    async def watch(
+        self, prefix: str, revision: int, *, probe_timeout_ms: int | None = None
+    ) -> AsyncIterator[kv.WatchBatch]:
         """Watches all keys with a prefix, starting at a revision."""
-        batches = self._store.watch(prefix, revision)
+        batches = self._store.watch(prefix, revision, probe_timeout_ms=probe_timeout_ms)
         while True:
             try:
                 batch = await self._count_call("watch", anext(batches))
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/deployment.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/deployment.py
@@ -9,7 +9,7 @@
     from collections.abc import Callable
 
     from mastickeel._kvtypes import KeyValue, Put
-    from mastickeel.storeport import Store
+    from mastickeel.storeport import WatchableStore
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.relay.types import Dialect
     from mastickeel_router.releases.model import ReleaseOrder, ReleaseState
@@ -20,7 +20,7 @@
 class Deployment:
     """Store, wire formats and key layout of a deployment."""
 
-    store: Store
+    store: WatchableStore
     dialect: Dialect
     operator_prefix: str
     """Prefix of the keys that the operator writes."""
--- a/tests/mastickeel_router/memorystore.py
+++ b/tests/mastickeel_router/memorystore.py
@@ -105,7 +105,9 @@
         for key in [key for key, item in self._items.items() if item.lease == lease]:
             self.delete(key)
 
-    async def watch(self, prefix: str, revision: int) -> AsyncIterator[WatchBatch]:
+    async def watch(
+        self, prefix: str, revision: int, *, probe_timeout_ms: int | None = None
+    ) -> AsyncIterator[WatchBatch]:
         after = revision - 1
         while True:
             self.watch_polls += 1
