Learn the store's changes from the peers as well

Cause: one watch by which an instance learns stands for all that the fleet knows; peers exchange notices and none of them says that the store has changed.

Change (storeview/): a view holds the newest value of each shared key by revision, whichever way it came, passes each change on once and never goes back. Who reads a change announces the revision, by rank, unless a peer has; who lacks it 300 ms later probes its own watch and asks the sender. An instance whose watch is late asks a random peer every 250 ms. Keys of the operator, of endpoints and of release plans are shared; leases, duties and registrations are not. No call to the store is added while its watches answer. An unexpected error of a handler makes the follower list again.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -29,6 +30,10 @@
 PROBE_TIMEOUT_MS = 400
 """Timeout of the first watch that returns at once; doubles with each that is not answered."""
 MAX_DOUBLINGS = 4
+LATE_MS = 2_250
+"""Time after which a watch without an answer is late: above the time that it waits for changes."""
+REOPEN_AFTER_MS = 100
+"""Time that a watch has to answer before it may be given up."""
 
 HISTORY_LOST = define_event(
     2310,
@@ -61,6 +66,9 @@
     on_new_era: Callable[[], None] = lambda: None
     """Called before a list that may be older than what was read before, as the store has come back
     from an older copy."""
+    on_answer: Callable[[int], None] = lambda revision: None
+    """Called with the revision up to which all changes have been passed on, when the store has
+    answered."""
 
 
 def combine_handlers(handlers_by_prefix: dict[str, WatchHandler]) -> WatchHandler:
@@ -148,17 +156,46 @@
         self._unanswered_watches = 0
         self._must_list = False
         self._is_watching = False
+        self._reading: asyncio.Task[None] | None = None
+        self._is_reopening = False
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the store has failed, or does not answer the watch in time."""
+        return self._down or self._clock.now() - self._call_began_ms > LATE_MS
+
+    def reopen(self) -> None:
+        """Gives a watch up that may have been lost; the next call shows it at once."""
+        if (
+            self._reading is not None
+            and self._is_watching
+            and self._clock.now() - self._call_began_ms >= REOPEN_AFTER_MS
+        ):
+            self._is_reopening = True
+            self._reading.cancel()
 
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
+        this_task = asyncio.current_task()
+        assert this_task is not None
         while True:
+            self._is_reopening = False
+            self._reading = asyncio.ensure_future(self._read())
             try:
-                await self._read()
+                await self._reading
+            except asyncio.CancelledError:
+                if not self._is_reopening or this_task.cancelling():
+                    raise
+                self._unanswered_watches += 1
             except StoreCompactedError as error:
                 log(HISTORY_LOST, prefix=self._prefix, revision=self.revision, error=str(error))
                 self.revision = None
             except StoreError as error:
                 await self._wait_after_failure(error)
+            except Exception:
+                # A handler failed and has missed a change; the next run lists all keys again.
+                self.revision = None
+                raise
 
     async def _read(self) -> None:
         """Lists the prefix if necessary, then watches it until the watch ends."""
@@ -185,10 +222,13 @@
             self.revision = max(self.revision, batch.revision)
             if batch.puts or batch.deletes:
                 has_changes = True
-            elif has_changes:
+                continue
+            self._handler.on_answer(batch.revision)
+            self._call_began_ms = self._clock.now()
+            if has_changes:
                 has_changes = False
                 await self._clock.sleep(WATCH_BATCH_INTERVAL_MS)
-            self._call_began_ms = self._clock.now()
+                self._call_began_ms = self._clock.now()
 
     async def _list(self) -> None:
         """Reads all keys of the prefix."""
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -17,7 +17,7 @@
 from mastickeel.rendezvous import rank
 from mastickeel.tasks import TaskGroup
 from mastickeel_router.availability import EndpointAvailability, EndpointAwayNotice
-from mastickeel_router.discovery import EndpointRegistry, follow_prefix
+from mastickeel_router.discovery import EndpointRegistry
 from mastickeel_router.discovery.feeds import WatchHandler, combine_handlers
 from mastickeel_router.fleet import (
     Broadcast,
@@ -59,6 +59,7 @@
 from mastickeel_router.relay.memory import AnswerMemory
 from mastickeel_router.releases import ReleaseOrder, Releases
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
+from mastickeel_router.storeview import FleetAccess, StoreKnowledge
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
@@ -77,8 +78,6 @@
 connection makes callers try another instance at once; once the listener is open, callers get an
 error with a retry time until the data is loaded."""
 START_CHECK_INTERVAL_MS = 5
-ALL_KEYS_PREFIX = ""
-"""Prefix of every key."""
 IDLE_CHECK_INTERVAL_MS = 50
 """Interval of checks for open requests during a drain."""
 IDLE_BEFORE_STOP_MS = 200
@@ -205,10 +204,12 @@
             list_ended=self.registry.list_ended,
             apply=self._apply_lost_writes,
         )
+        self.knowledge: StoreKnowledge | None = None
+        """What this instance knows of the store; None before the start."""
         self._peer_metrics = Metrics()
         self.permit_issuer = PermitIssuer(clock, self.limits)
         """Issues permits for the limited endpoints that this instance schedules."""
-        self._link, self._instances = self._make_fleet()
+        self._link, self._instances, self._broadcast = self._make_fleet()
         self.permits = SendPermits(
             clock,
             self.limits,
@@ -267,6 +268,9 @@
             self.releases.plans_prefix: self.releases.plan_handler(),
             self.releases.duties_prefix: self.releases.duty_handler(),
         }
+        if self._instances is not None:
+            handlers_by_prefix[self._instances.entries_prefix] = self._instances.entry_handler()
+        self.knowledge = self._make_knowledge(combine_handlers(handlers_by_prefix))
         if self._link is not None and self._instances is not None and self.settings.peers:
             await self._link.bind(self.settings.peers.listen)
             if (tunnels := self.settings.tunnels) is not None:
@@ -278,9 +282,7 @@
             self._tasks.start_supervised(
                 self.clock, "tell crashing parts", self.crashing_parts.run_resending
             )
-            handlers_by_prefix[self._instances.entries_prefix] = self._instances.entry_handler()
-        self._follow_store(combine_handlers(handlers_by_prefix))
-        for name, work in self.releases.work_by_name().items():
+        for name, work in (self.knowledge.work_by_name() | self.releases.work_by_name()).items():
             self._tasks.start_supervised(self.clock, name, work)
         self.health_port = self._health_listener.listen(self.settings.health.listen)
         if self.settings.metrics is not None:
@@ -388,11 +390,13 @@
         """Returns the ids of the peers that are in the directory or were there recently."""
         return self._instances.recent_peer_ids if self._instances is not None else ()
 
-    def _make_fleet(self) -> tuple[PeerLink | None, InstanceDirectory | None]:
-        """Creates peer link and instance directory; None without `peers` in the settings."""
+    def _make_fleet(
+        self,
+    ) -> tuple[PeerLink | None, InstanceDirectory | None, Broadcast | None]:
+        """Creates link, directory and broadcast; None without `peers` in the settings."""
         settings = self.settings
         if settings.peers is None:
-            return None, None
+            return None, None, None
         link = PeerLink(
             settings.instance.id,
             clock=self.clock,
@@ -439,7 +443,7 @@
         )
         serve_permits(link, self.permit_issuer)
         serve_admissions(link, self.admission_counter)
-        return link, instances
+        return link, instances, broadcast
 
     def _make_context(self) -> Context:
         return Context(
@@ -482,13 +486,25 @@
     def _write_refusal(self, error: MastickeelError) -> tuple[int, dict[str, str], bytes]:
         return self._deployment.dialect.write_error(error, "")
 
-    def _follow_store(self, handler: WatchHandler) -> None:
-        """Follows the store in the background; a single watch, because each call is billed."""
-        store = self._deployment.store
-        self._tasks.start_supervised(
-            self.clock,
-            "follow the store",
-            lambda: follow_prefix(store, ALL_KEYS_PREFIX, handler, clock=self.clock, rng=self.rng),
+    def _make_knowledge(self, handler: WatchHandler) -> StoreKnowledge:
+        """Creates the knowledge of the store; one watch for all keys, as each call is billed."""
+        deployment = self._deployment
+        fleet = None
+        if self._link is not None and self._broadcast is not None:
+            fleet = FleetAccess(self._link, self._broadcast, self._rank_of)
+        return StoreKnowledge(
+            deployment.store,
+            handler,
+            clock=self.clock,
+            rng=self.rng,
+            tasks=self._tasks,
+            shared_prefixes=(
+                deployment.operator_prefix,
+                deployment.entries_prefix,
+                self.releases.plans_prefix,
+            ),
+            max_age_ms=self.settings.knowledge.max_age_ms,
+            fleet=fleet,
         )
 
     def _make_operator_handler(self) -> WatchHandler:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -85,6 +85,14 @@
     """Maximum time between two requests of one session."""
 
 
+@dataclass(frozen=True)
+class KnowledgeSettings:
+    """Limits on what an instance may do by what it has read from the store."""
+
+    max_age_ms: int = 2_000
+    """Age up to which a caller may be refused because a route or a key is not known."""
+
+
 @dataclass(frozen=True)
 class MemorySettings:
     """Memory of the instance's machine."""
@@ -115,6 +123,7 @@
     repeats: RetryLimits = field(default_factory=RetryLimits)
     stop: StopSettings = field(default_factory=StopSettings)
     sessions: SessionSettings = field(default_factory=SessionSettings)
+    knowledge: KnowledgeSettings = field(default_factory=KnowledgeSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     memory: MemorySettings = field(default_factory=MemorySettings)
 
@@ -147,6 +156,7 @@
         ("repeats.window_ms", settings.repeats.window_ms),
         ("stop.grace_ms", settings.stop.grace_ms),
         ("sessions.gap_ms", settings.sessions.gap_ms),
+        ("knowledge.max_age_ms", settings.knowledge.max_age_ms),
         ("memory.limit_mb", settings.memory.limit_mb),
     ]
     if settings.tunnels is not None:
--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -0,0 +1,215 @@
+"""View of the store: the newest value of each followed key, whichever way it arrived.
+
+Changes arrive by the instance's own watch and from peers that have read them, so that the same
+change may come twice, or an older one after a newer one. The view passes each change on once, and
+never goes back for a key.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mastickeel.events import define_event
+from mastickeel.logs import log
+from mastickeel_router.discovery.feeds import WatchHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mastickeel._kvtypes import KeyValue
+    from mastickeel.clock import Clock
+    from mastickeel.storeera import StoreEra
+
+MAX_REMOVALS = 1_024
+"""Maximum number of removed keys that are remembered for peers; older ones need a whole copy."""
+
+CHANGES_FROM_PEER = define_event(
+    2312,
+    "changes_from_peer",
+    "info",
+    "Changes of the store arrived from another instance before this instance's own watch.",
+)
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A key that was removed."""
+
+    key: str
+    revision: int
+    """Revision of the removal, or a later one."""
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Changes of the shared keys up to a revision."""
+
+    era: int
+    revision: int
+    """All changes up to this revision are included."""
+    items: tuple[KeyValue, ...] = ()
+    removals: tuple[Removal, ...] = ()
+    is_whole: bool = False
+    """Whether these are all keys, so that a key that is missing was removed."""
+
+
+class StoreView:
+    """The newest known values of the keys that instances share, and how old this knowledge is."""
+
+    def __init__(
+        self, handler: WatchHandler, clock: Clock, era: StoreEra, is_shared: Callable[[str], bool]
+    ) -> None:
+        """Creates a view without any key.
+
+        Args:
+            handler: Receives the keys and the changes, each once and in order for a key.
+            clock: Clock for the age of the knowledge.
+            era: The store's era.
+            is_shared: Tells by key whether the instances tell each other about it.
+        """
+        self.revision = 0
+        """Revision up to which all changes of shared keys are known; 0 before the first list."""
+        self.era = 0
+        """Era of the store in which the revision counts; 0 if the store names none."""
+        self.on_progress: list[Callable[[], None]] = []
+        """Callbacks for each change of a shared key that was read from the store."""
+        self._handler = handler
+        self._clock = clock
+        self._store_era = era
+        self._is_shared = is_shared
+        self._items_by_key: dict[str, KeyValue] = {}
+        self._removals_by_key: dict[str, Removal] = {}
+        self._complete_since = 0
+        self._confirmed_ms: int | None = None
+
+    def handler(self) -> WatchHandler:
+        """Returns the handler for the instance's own watch."""
+        return WatchHandler(
+            self._apply_list,
+            self._apply_put,
+            self._apply_delete,
+            self._handler.on_outage,
+            self._handler.on_recovery,
+            self._begin_era,
+            self._record_answer,
+        )
+
+    def age_ms(self) -> int | None:
+        """Returns the age of the knowledge: what was acknowledged before that time is known."""
+        return None if self._confirmed_ms is None else self._clock.now() - self._confirmed_ms
+
+    def changes_since(self, revision: int) -> Changes:
+        """Returns the changes of shared keys after a revision, or all keys if some are not known.
+
+        Args:
+            revision: Revision up to which the asking instance knows all changes.
+        """
+        is_whole = revision < self._complete_since
+        after = 0 if is_whole else revision
+        items = [item for item in self._items_by_key.values() if item.mod_revision > after]
+        removals = [one for one in self._removals_by_key.values() if one.revision > after]
+        return Changes(self.era, self.revision, tuple(items), tuple(removals), is_whole)
+
+    def apply_peer_changes(self, peer: str, changes: Changes, age_ms: int) -> None:
+        """Applies changes that another instance has read.
+
+        Args:
+            peer: Id of the instance, for the log.
+            changes: The changes since this view's revision.
+            age_ms: Age of the other instance's knowledge.
+        """
+        if not self.revision or changes.era != self.era:
+            # The first list of an era comes from the store, as not all keys are shared.
+            return
+        if changes.revision > self.revision:
+            self._apply_newer(changes)
+            log(CHANGES_FROM_PEER, peer=peer, revision=changes.revision, age_ms=age_ms)
+        self._record_confirmation(self._clock.now() - age_ms)
+
+    def _apply_newer(self, changes: Changes) -> None:
+        """Applies the changes after this view's revision."""
+        known_until, self.revision = self.revision, changes.revision
+        removals = list(changes.removals)
+        if changes.is_whole:
+            present = {item.key for item in changes.items}
+            missing = [key for key in self._items_by_key if key not in present]
+            removals += [Removal(key, changes.revision) for key in missing]
+        for removal in removals:
+            if removal.revision > known_until and removal.key in self._items_by_key:
+                self._record_removal(removal)
+                self._handler.on_delete(removal.key, removal.revision)
+        for item in changes.items:
+            if item.mod_revision > known_until and self._is_shared(item.key):
+                self._record_item(item)
+                self._handler.on_put(item)
+
+    def _apply_list(self, items: tuple[KeyValue, ...], revision: int) -> None:
+        """Applies a list of all keys; shared keys that are known from a later revision are kept."""
+        self.era = self._store_era.number or 0
+        if revision < self.revision:
+            items = (
+                *(item for item in items if self._is_news(item.key, item.mod_revision)),
+                *self._items_by_key.values(),
+            )
+            items = tuple({item.key: item for item in reversed(items)}.values())
+        listed = {item.key for item in items}
+        for key in self._items_by_key.keys() - listed:
+            self._record_removal(Removal(key, revision))
+        for item in items:
+            if self._is_shared(item.key):
+                self._record_item(item)
+        self._complete_since = self._complete_since or revision
+        self._handler.on_list(items, revision)
+        self._record_answer(revision)
+
+    def _apply_put(self, item: KeyValue) -> None:
+        if not self._is_news(item.key, item.mod_revision):
+            return
+        if self._is_shared(item.key):
+            self._record_item(item)
+            self._notify_progress()
+        self._handler.on_put(item)
+
+    def _apply_delete(self, key: str, revision: int) -> None:
+        if not self._is_news(key, revision):
+            return
+        if self._is_shared(key):
+            self._record_removal(Removal(key, revision))
+            self._notify_progress()
+        self._handler.on_delete(key, revision)
+
+    def _is_news(self, key: str, revision: int) -> bool:
+        """Returns whether no peer has told of a change yet; peers tell of shared keys only."""
+        return revision > self.revision or not self._is_shared(key)
+
+    def _begin_era(self) -> None:
+        """Forgets the revisions, which the store gives out again."""
+        self.revision = self._complete_since = 0
+        self._items_by_key.clear()
+        self._removals_by_key.clear()
+        self._handler.on_new_era()
+
+    def _record_answer(self, revision: int) -> None:
+        """Records that the store has answered, and all changes up to a revision are known."""
+        self.revision = max(self.revision, revision)
+        self._record_confirmation(self._clock.now())
+
+    def _record_confirmation(self, at_ms: int) -> None:
+        self._confirmed_ms = max(self._confirmed_ms or at_ms, at_ms)
+
+    def _notify_progress(self) -> None:
+        for notify in self.on_progress:
+            notify()
+
+    def _record_item(self, item: KeyValue) -> None:
+        self._removals_by_key.pop(item.key, None)
+        self._items_by_key[item.key] = item
+
+    def _record_removal(self, removal: Removal) -> None:
+        self._items_by_key.pop(removal.key, None)
+        self._removals_by_key.pop(removal.key, None)
+        self._removals_by_key[removal.key] = removal
+        if len(self._removals_by_key) > MAX_REMOVALS:
+            dropped = self._removals_by_key.pop(next(iter(self._removals_by_key)))
+            self._complete_since = max(self._complete_since, dropped.revision)
