Refuse callers with 401 and 404 by recent knowledge only

The age is known now: the time since the own watch was answered, or that of the peer that told. A route or key that is unknown while it is over [knowledge] max_age_ms (the time in which a change must be in force) is looked up again after the watch was probed and a peer asked, within 300 ms; if neither answers the caller gets 503 with Retry-After, not run, and for half a second the next ones get it at once. request_refused and a gauge show the age.

Measured: test_caller_gets_404_or_401_by_knowledge_that_may_be_out_of_date failed before (404) and passes.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -467,6 +467,8 @@
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
             store_age_ms=self.store.age_ms,
+            knowledge_age_ms=self.knowledge_age_ms,
+            confirm_knowledge=self._confirm_knowledge,
             open_sends=self.releases.evidence.open_sends,
             on_send=self._record_send,
             on_send_abandoned=self.releases.record_abandoned,
@@ -475,6 +477,13 @@
             on_error_reply=self.metrics.record_error_reply,
         )
 
+    def knowledge_age_ms(self) -> int | None:
+        """Returns the age of what is known of the store; None before the first list."""
+        return self.knowledge.age_ms() if self.knowledge is not None else None
+
+    async def _confirm_knowledge(self) -> bool:
+        return self.knowledge is not None and await self.knowledge.confirm()
+
     def _record_send(self, observation: SendObservation) -> None:
         self.releases.record_send(observation)
         self.metrics.record_send(observation)
@@ -524,18 +533,17 @@
         )
 
     def _apply_operator_item(self, item: KeyValue, *, is_kept: bool = False) -> None:
-        """Applies a value of the operator; logs and ignores an undecodable one."""
+        """Applies a value of the operator; logs and ignores an unusable one."""
         try:
             value = self._deployment.read_operator_item(item)
+            is_in_force = False
+            if isinstance(value, RoutingConfiguration):
+                is_in_force = self.table.install(value, item.mod_revision)
+            elif isinstance(value, ReleaseOrder):
+                is_in_force = self.releases.apply_order(value, is_kept=is_kept)
         except MastickeelError as error:
             log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=error.detail)
             return
-        if isinstance(value, RoutingConfiguration):
-            is_in_force = self.table.install(value, item.mod_revision)
-        elif isinstance(value, ReleaseOrder):
-            is_in_force = self.releases.apply_order(value, is_kept=is_kept)
-        else:
-            return
         if is_in_force:
             self._lost_writes.record_value(item)
 
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
@@ -52,6 +52,9 @@
     paths: EndpointPaths
     tunnels: TunnelListener
 
+    def knowledge_age_ms(self) -> int | None:
+        """Returns the age of what is known of the store; None before the first list."""
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new connections."""
@@ -126,7 +129,14 @@
     metrics.add_gauge("repeats_paid", "Repeats since the start", lambda: gateway.budget.granted)
     metrics.add_gauge("repeats_refused", "Repeats not paid for", lambda: gateway.budget.refused)
     metrics.add_gauge(
-        "store_silent_seconds", "Since the store last answered", lambda: _measure_silence(gateway)
+        "store_silent_seconds",
+        "Since the store last answered",
+        lambda: _to_seconds(gateway.store.age_ms()),
+    )
+    metrics.add_gauge(
+        "knowledge_age_seconds",
+        "Age of what is known of the store, by the own watch or by other instances",
+        lambda: _to_seconds(gateway.knowledge_age_ms()),
     )
     metrics.add_gauge(
         "store_era", "Era of the store; 0 if not known", lambda: gateway.store.era.number or 0
@@ -144,7 +154,6 @@
     return sum(limit is not None for limit in limits)
 
 
-def _measure_silence(gateway: GaugedComponents) -> float:
-    """Returns the time since the store's last answer, in seconds; infinite before the first."""
-    age_ms = gateway.store.age_ms()
+def _to_seconds(age_ms: int | None) -> float:
+    """Returns an age in seconds; infinite for none, as before the first answer."""
     return math.inf if age_ms is None else age_ms / 1_000
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
     from mastickeel.clock import Clock
     from mastickeel.tasks import TaskGroup
@@ -139,6 +139,10 @@
     """Latest version of each session."""
     store_age_ms: Callable[[], int | None]
     """Returns the time since the store's last answer; None before the first one."""
+    knowledge_age_ms: Callable[[], int | None]
+    """Returns the age of what is known of the store; None before the first list."""
+    confirm_knowledge: Callable[[], Awaitable[bool]]
+    """Returns whether what is known of the store is recent enough to refuse a caller by it."""
     open_sends: set[OpenSend]
     """Sends whose answers have not ended."""
     on_send: Callable[[SendObservation], None]
--- a/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from mastickeel.errors import MastickeelError
+from mastickeel.errors import (
+    MastickeelError,
+    NotFoundError,
+    UnauthorizedError,
+    UnavailableError,
+)
 from mastickeel.logs import log
 from mastickeel_router.relay.context import REQUEST_REFUSED
 from mastickeel_router.relay.run import RequestRun, send_error
@@ -12,7 +17,11 @@
 if TYPE_CHECKING:
     from mastickeel_router.relay.context import Context
     from mastickeel_router.relay.listener import Responder
-    from mastickeel_router.relay.types import RequestHead
+    from mastickeel_router.relay.types import CallerRequest, RequestHead
+    from mastickeel_router.routes import Caller, Route, RouteTable
+
+UNCONFIRMED_RETRY_MS = 500
+"""Retry time sent to callers whose route or key is unknown while the store does not answer."""
 
 
 class Dispatcher:
@@ -39,8 +48,7 @@
         try:
             request = context.dialect.read_request(head)
             request_id = request.id
-            route = context.table.match(request.host, head.path)
-            caller = context.table.authenticate(route, request.key)
+            route, caller = await self._admit(request, head.path)
         except MastickeelError as error:
             # The query is not logged: it may hold personal data.
             log(
@@ -51,8 +59,34 @@
                 detail=error.detail,
                 version=context.table.version,
                 store_age_ms=context.store_age_ms(),
+                knowledge_age_ms=context.knowledge_age_ms(),
             )
             context.on_error_reply(error.code)
             await send_error(context.dialect, error, request_id, responder)
             return
         await RequestRun(context, request, route, caller, body, responder).run()
+
+    async def _admit(self, request: CallerRequest, path: str) -> tuple[Route, Caller | None]:
+        """Returns the route and the client account of a request.
+
+        Raises:
+            NotFoundError: When no route matches, by recent knowledge.
+            UnauthorizedError: When the key is missing or unknown, by recent knowledge.
+            UnavailableError: When the route or the key is not known, but may have been added.
+        """
+        table = self._context.table
+        try:
+            return _look_up(table, request, path)
+        except (NotFoundError, UnauthorizedError) as error:
+            if not await self._context.confirm_knowledge():
+                raise UnavailableError(
+                    f"{error.detail} It may have been added since the store was last read.",
+                    retry_after_ms=UNCONFIRMED_RETRY_MS,
+                ) from error
+        return _look_up(table, request, path)
+
+
+def _look_up(table: RouteTable, request: CallerRequest, path: str) -> tuple[Route, Caller | None]:
+    """Returns the route and the client account by the configuration in force."""
+    route = table.match(request.host, path)
+    return route, table.authenticate(route, request.key)
