--- /dev/null
+++ b/packages/mastickeel_router/src/mastickeel_router/routes/checks.py
@@ -0,0 +1,70 @@
+"""Checks of a routing configuration: an unusable one is refused as a whole."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from mastickeel.errors import MastickeelError
+
+if TYPE_CHECKING:
+    from mastickeel_router.routes.model import CallerLimits, Route, RoutingConfiguration
+
+
+class UnusableConfigurationError(MastickeelError):
+    """Raised for a configuration that cannot be put in force."""
+
+    code = "unusable_configuration"
+    title = "The configuration cannot be put in force."
+    remedy = "Correct the values in the detail; the configuration before it stays in force."
+
+
+def check_configuration(configuration: RoutingConfiguration) -> None:
+    """Checks what the types do not exclude.
+
+    Raises:
+        UnusableConfigurationError: Lists every fault.
+    """
+    faults = [fault for route in configuration.routes for fault in _check_route(route)]
+    places = Counter((route.host, route.path_prefix) for route in configuration.routes)
+    faults += [
+        f"{host}{prefix} belongs to {count} routes"
+        for (host, prefix), count in places.items()
+        if count > 1
+    ]
+    faults += _check_limits(configuration.limits)
+    if configuration.version < 0:
+        faults.append(f"the version is {configuration.version}")
+    if faults:
+        raise UnusableConfigurationError("; ".join(faults))
+
+
+def _check_route(route: Route) -> list[str]:
+    """Returns the faults of one route."""
+    faults = []
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        faults.append(f"path prefix {route.path_prefix!r}")
+    if not route.host:
+        faults.append("no host")
+    if any(split.weight < 0 for split in route.splits):
+        faults.append("a weight under 0")
+    elif not sum(split.weight for split in route.splits):
+        faults.append("no weight above 0")
+    if route.timeout_ms <= 0:
+        faults.append(f"timeout of {route.timeout_ms} ms")
+    if route.objective_ms < 0 or route.max_event_gap_ms < 0:
+        faults.append("an objective under 0 ms")
+    if route.attempts < 1:
+        faults.append(f"{route.attempts} attempts")
+    return [f"route {route.name!r}: {fault}" for fault in faults]
+
+
+def _check_limits(limits: CallerLimits) -> list[str]:
+    """Returns the faults of the limits on callers' requests."""
+    values_by_name = {
+        "header_bytes": limits.header_bytes,
+        "body_bytes": limits.body_bytes,
+        "header_timeout_ms": limits.header_timeout_ms,
+        "idle_timeout_ms": limits.idle_timeout_ms,
+    }
+    return [f"{name} is {value}" for name, value in values_by_name.items() if value <= 0]
--- a/packages/mastickeel_router/src/mastickeel_router/routes/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/routes/model.py
@@ -22,7 +22,7 @@
     """Share of a route's requests that one service gets, relative to the route's other splits."""
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/routes/table.py
+++ b/packages/mastickeel_router/src/mastickeel_router/routes/table.py
@@ -7,6 +7,7 @@
 from mastickeel.errors import NotFoundError, UnauthorizedError, UnavailableError
 from mastickeel.events import define_event
 from mastickeel.logs import log
+from mastickeel_router.routes.checks import check_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,7 +58,11 @@
 
         Returns:
             Whether the configuration was put in force.
+
+        Raises:
+            UnusableConfigurationError: When a value cannot be used; nothing of it is applied.
         """
+        check_configuration(configuration)
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             log(CONFIGURATION_NOT_NEWER, version=configuration.version, in_force=current.version)
