Pass on no change of a key after a later one

A list may hold newer values than the revision that it names; the watch or a peer then brought an older value of the same key again for a moment.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -129,20 +129,21 @@
 
     def _apply_newer(self, changes: Changes) -> None:
         """Applies the changes after this view's revision."""
-        known_until, self.revision = self.revision, changes.revision
         removals = list(changes.removals)
         if changes.is_whole:
             present = {item.key for item in changes.items}
             missing = [key for key in self._items_by_key if key not in present]
             removals += [Removal(key, changes.revision) for key in missing]
         for removal in removals:
-            if removal.revision > known_until and removal.key in self._items_by_key:
+            is_known = removal.key in self._items_by_key
+            if is_known and self._is_news(removal.key, removal.revision):
                 self._record_removal(removal)
                 self._handler.on_delete(removal.key, removal.revision)
         for item in changes.items:
-            if item.mod_revision > known_until and self._is_shared(item.key):
+            if self._is_shared(item.key) and self._is_news(item.key, item.mod_revision):
                 self._record_item(item)
                 self._handler.on_put(item)
+        self.revision = changes.revision
 
     def _apply_list(self, items: tuple[KeyValue, ...], revision: int) -> None:
         """Applies a list of all keys; shared keys that are known from a later revision are kept."""
@@ -155,7 +156,8 @@
             items = tuple({item.key: item for item in reversed(items)}.values())
         listed = {item.key for item in items}
         for key in self._items_by_key.keys() - listed:
-            self._record_removal(Removal(key, revision))
+            last_known = self._items_by_key[key].mod_revision
+            self._record_removal(Removal(key, max(revision, last_known)))
         for item in items:
             if self._is_shared(item.key):
                 self._record_item(item)
@@ -180,8 +182,16 @@
         self._handler.on_delete(key, revision)
 
     def _is_news(self, key: str, revision: int) -> bool:
-        """Returns whether no peer has told of a change yet; peers tell of shared keys only."""
-        return revision > self.revision or not self._is_shared(key)
+        """Returns whether a change has not been passed on yet, nor a later one of its key."""
+        if not self._is_shared(key):
+            return True
+        known, removal = self._items_by_key.get(key), self._removals_by_key.get(key)
+        newest = max(
+            self.revision,
+            known.mod_revision if known else 0,
+            removal.revision if removal else 0,
+        )
+        return revision > newest
 
     def _begin_era(self) -> None:
         """Forgets the revisions, which the store gives out again."""
