Tell peers all keys where removals may be missing

A peer could keep a route, an endpoint or an order that the store had removed: a view that lists again has not seen the keys that were written and removed since its last list, and told a peer that knew such a key only the changes after it. A view counts its removals as complete from its last list on now, and sends all keys to a peer that knows less.

Found by 300 examples of the state machine.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -81,6 +81,7 @@
         self._items_by_key: dict[str, KeyValue] = {}
         self._removals_by_key: dict[str, Removal] = {}
         self._complete_since = 0
+        """Revision after which no removal is missing."""
         self._confirmed_ms: int | None = None
 
     def handler(self) -> WatchHandler:
@@ -134,6 +135,7 @@
             present = {item.key for item in changes.items}
             missing = [key for key in self._items_by_key if key not in present]
             removals += [Removal(key, changes.revision) for key in missing]
+            self._complete_since = max(self._complete_since, changes.revision)
         for removal in removals:
             is_known = removal.key in self._items_by_key
             if is_known and self._is_news(removal.key, removal.revision):
@@ -161,7 +163,8 @@
         for item in items:
             if self._is_shared(item.key):
                 self._record_item(item)
-        self._complete_since = self._complete_since or revision
+        # Keys that were written and removed since the last list are in neither of the lists.
+        self._complete_since = max(self._complete_since, revision)
         self._handler.on_list(items, revision)
         self._record_answer(revision)
 
