Soak: a store that fails some instances alone, late writes, and changes that are probed

Each process has an access to the store of its own now, which hangs, refuses, leaves watches alone unanswered or executes writes late; the store as a whole falls silent too; the operator adds and removes routes all the while, and each instance is probed from 2.05 s after a change.

--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -1,4 +1,5 @@
-"""Soak of gateways as processes before endpoints that limit, leave, turn away, crash or are cut.
+"""Soak of gateways as processes: endpoints that limit, leave, turn away, crash or are cut, and a
+store that fails all or some instances.
 
 Run by hand with more seeds and instances:
 ``python -m tests.mastickeel_platform.limit_soak --first 1 --seeds 50 --instances 9``.
@@ -20,7 +21,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from mastickeel.clock import Clock
 from mastickeel.tasks import TaskGroup
@@ -32,12 +33,15 @@
     Cut,
     Instance,
     LimitedEndpoint,
+    Probe,
+    Span,
     Statement,
     Try,
     check_cut,
     check_falls,
     check_limits,
     check_part,
+    check_probes,
     check_statements,
 )
 from tests.mastickeel_platform.standins import (
@@ -45,6 +49,7 @@
     RawServer,
     Reply,
     Request,
+    StoreAccess,
     answer_bytes,
     call,
     configuration,
@@ -55,7 +60,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Sequence
 
 RATES = (0.5, 1.0, 1.6, 4.0, 12.0)
 ENDPOINT_COUNT = 3
@@ -76,7 +81,27 @@
 FAULT_PAUSE_MS = 1_500
 CRASHING_PREFIX = "bad"
 SOUND_PARTS = "f1:5,50:10"
-CONFIGURATION = configuration(7, route("look", "safe", max_attempts=2))
+LOOK_ROUTE = route("look", "safe", max_attempts=2)
+FIRST_VERSION = 7
+CHANGE_INTERVAL_MS = (600, 3_000)
+STORE_FAULTS = (
+    "kill",
+    "term",
+    "freeze",
+    "store",
+    "older",
+    "entry",
+    "late writes",
+    "hung store",
+    "silent watches",
+    "refusing store",
+    "silent store",
+)
+ACCESS_FAULT_MS = (1_000, 6_000)
+MIN_SERVED_BY_STORE = 2
+"""Instances that the store serves while it fails others."""
+PROBE_TIMES_MS = (2_050, 3_000, 4_500)
+"""Times after a change at which all instances are probed."""
 
 
 @dataclass
@@ -92,19 +117,27 @@
 class LimitSoak:
     """One run."""
 
-    def __init__(self, seed: int, instance_count: int, duration_ms: int) -> None:
+    def __init__(
+        self, seed: int, instance_count: int, duration_ms: int, fault_names: Sequence[str] = ()
+    ) -> None:
         """Creates a run that has not started.
 
         Args:
             seed: Seed of the faults, limits and requests.
             instance_count: Number of gateway processes.
             duration_ms: Time under faults.
+            fault_names: Names of the faults to inject; none for all.
         """
+        self._fault_names = fault_names
         self._seed = seed
         self._rng = random.Random(seed)
         self._clock = Clock()
         self._duration_ms = duration_ms
         self._store = FakeStore()
+        self._version = FIRST_VERSION
+        self._added_routes: dict[str, dict[str, Any]] = {}
+        self._store_faults_ms: list[Span] = []
+        self._probes: list[Probe] = []
         self._instances = [Instance(f"edge-{number}") for number in range(instance_count)]
         self._endpoints: list[LimitedEndpoint] = []
         self._outcomes: Counter[str] = Counter()
@@ -124,7 +157,10 @@
         """Starts everything, breaks it for the duration, and checks what the endpoints got."""
         with tempfile.TemporaryDirectory() as folder:
             await self._store.server.start()
-            self._store.put("op/config", CONFIGURATION)
+            self._write_configuration()
+            for instance in self._instances:
+                instance.access = StoreAccess(self._store)
+                await instance.access.server.start()
             for number in range(ENDPOINT_COUNT):
                 await self._add_endpoint(number)
             try:
@@ -135,8 +171,10 @@
                     for instance in self._instances
                     for client in (self._send_on_new, self._send_on_kept)
                 ]
+                operator = asyncio.create_task(self._operate())
                 await self._break(Path(folder))
                 self._ended = True
+                await operator
                 await asyncio.gather(*clients)
             finally:
                 await self._stop_all()
@@ -209,7 +247,9 @@
     async def _start(self, instance: Instance, folder: Path) -> None:
         """Starts a gateway process and waits until it listens."""
         path = folder / f"{instance.id}.conf"
-        text = SETTINGS.format(port=self._store.server.port).replace("edge-1", instance.id)
+        assert instance.access is not None
+        port = instance.access.server.port
+        text = SETTINGS.format(port=port).replace("edge-1", instance.id)
         instance.cut_file = folder / f"{instance.id}.cut"
         instance.cut_file.touch()
         path.write_text(text.replace('level = "error"', 'level = "info"') + PEERS)
@@ -337,11 +377,16 @@
             "part": self._send_crashing_part,
             "cut": self._cut_off,
             "brittle": self._be_brittle,
+            "late writes": self._delay_writes,
+            "hung store": lambda: self._break_access("silent", True),
+            "silent watches": lambda: self._break_access("watches_silent", True),
+            "refusing store": lambda: self._break_access("refusal_status", 503),
+            "silent store": self._silence_store,
         }
         for endpoint in self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]:
             endpoint.set_limit(self._rng.choice(RATES), self._clock.now())
         while self._clock.now() < end_ms:
-            name = self._rng.choice(("limit", *faults))
+            name = self._rng.choice(self._fault_names or ("limit", *faults))
             self._faults[name] += 1
             running.append(asyncio.create_task(faults[name]()))
             await self._clock.sleep(self._rng.uniform(0, 2 * FAULT_PAUSE_MS))
@@ -453,29 +498,115 @@
         instance.process = process
         instance.faults_ms.append((begin_ms, self._clock.now()))
 
+    def _write_configuration(self) -> None:
+        routes = (LOOK_ROUTE, *self._added_routes.values())
+        self._store.put("op/config", configuration(self._version, *routes))
+
+    async def _operate(self) -> None:
+        """Changes the configuration until the run ends."""
+        changes: list[asyncio.Task[None]] = []
+        while not self._ended:
+            await self._clock.sleep(self._rng.uniform(*CHANGE_INTERVAL_MS))
+            changes.append(asyncio.create_task(self._change_routes()))
+        await asyncio.gather(*changes)
+
+    async def _change_routes(self) -> None:
+        """Adds a route or removes one, and probes which version is in force."""
+        self._version += 1
+        version = self._version
+        is_removed = bool(self._added_routes) and self._rng.random() < 0.5
+        if is_removed:
+            name = self._rng.choice(list(self._added_routes))
+            del self._added_routes[name]
+        else:
+            name = f"new{version}"
+            self._added_routes[name] = route(name, "safe")
+        self._write_configuration()
+        acked_ms = self._clock.now()
+        for time_ms in PROBE_TIMES_MS:
+            await self._clock.sleep(acked_ms + time_ms - self._clock.now())
+            if (name in self._added_routes) == is_removed:
+                return
+            await asyncio.gather(
+                *(
+                    self._probe(instance, name, version, acked_ms, is_removed)
+                    for instance in self._instances
+                )
+            )
+
+    async def _probe(
+        self, instance: Instance, name: str, version: int, acked_ms: int, is_removed: bool
+    ) -> None:
+        """Sends a request that shows whether a change of routes is in force."""
+        at_ms = self._clock.now()
+        request_id = self._name_request(instance, f"p{name}-{at_ms}")
+        data = request_bytes(f"/{name}/a", request_id)
+        try:
+            reply = await self._clock.wait_for(call(instance.port, data), REQUEST_TIMEOUT_MS)
+        except (OSError, TimeoutError, ValueError, IndexError):
+            return
+        self._outcomes[f"probe {reply.status}"] += 1
+        self._probes.append(Probe(at_ms, instance.id, version, acked_ms, is_removed, reply.status))
+
+    async def _break_access(self, fault: str, value: object) -> None:
+        """Lets the store fail some instances, but not all, in one way."""
+        served = [one.access for one in self._instances if one.access and not one.access.fails]
+        if len(served) <= MIN_SERVED_BY_STORE:
+            return
+        accesses = self._rng.sample(served, self._rng.randint(1, len(served) - MIN_SERVED_BY_STORE))
+        for access in accesses:
+            setattr(access, fault, value)
+        await self._clock.sleep(self._rng.uniform(*ACCESS_FAULT_MS))
+        for access in accesses:
+            setattr(access, fault, type(value)())
+
+    async def _delay_writes(self) -> None:
+        """Lets the store execute the writes of one instance late, without an answer."""
+        access = self._rng.choice(self._instances).access
+        assert access is not None
+        access.writes_allowed.clear()
+        await self._clock.sleep(self._rng.uniform(*ACCESS_FAULT_MS))
+        access.writes_allowed.set()
+
+    async def _silence_store(self) -> None:
+        """Lets the store leave the calls of all instances unanswered."""
+        begin_ms = self._clock.now()
+        for instance in self._instances:
+            assert instance.access is not None
+            instance.access.silent = True
+        await self._clock.sleep(self._rng.uniform(200, 5_000))
+        for instance in self._instances:
+            assert instance.access is not None
+            instance.access.silent = False
+        self._store_faults_ms.append((begin_ms, self._clock.now()))
+
     async def _lose_store(self) -> None:
         """Lets the store refuse all calls, and ends the leases of some or all instances."""
+        begin_ms = self._clock.now()
         self._store.refusal_status = 503
         await self._clock.sleep(self._rng.uniform(200, 2_500))
         for lease in list(self._store.leases):
             if self._rng.random() < 0.7:
                 self._store.end_lease(lease)
         self._store.refusal_status = 0
+        self._store_faults_ms.append((begin_ms, self._clock.now()))
 
     async def _restore_older_copy(self) -> None:
         """Lets the store come back from an older copy; its other writers then write again."""
+        begin_ms = self._clock.now()
         copy = self._store.copy()
         await self._clock.sleep(self._rng.uniform(500, 4_000))
         self._store.refusal_status = 503
         await self._clock.sleep(self._rng.uniform(0, 800))
         self._store.restore(copy)
         self._store.refusal_status = 0
-        writes = [lambda: self._store.put("op/config", CONFIGURATION)]
+        writes = [self._write_configuration]
         writes += [partial(self._write_entry, endpoint) for endpoint in self._endpoints]
         self._rng.shuffle(writes)
         for write in writes:
             await self._clock.sleep(self._rng.uniform(0, 500))
             write()
+        self._store_faults_ms.append((begin_ms, self._clock.now()))
 
     async def _lose_entry(self) -> None:
         """Lets an endpoint's entry expire and come back while its process goes on."""
@@ -499,6 +630,9 @@
         for endpoint in self._endpoints:
             endpoint.set_limit(None, self._clock.now())
             await endpoint.server.stop()
+        for instance in self._instances:
+            if instance.access is not None:
+                await instance.access.server.stop()
         await self._store.server.stop()
         await self._tasks.stop()
 
@@ -517,6 +651,7 @@
         for endpoint in self._endpoints:
             found += check_limits(endpoint, self._instances)
             found += check_statements(endpoint, self._instances)
+        found += check_probes(self._probes, self._instances, self._store_faults_ms)
         self._violations += found
 
 
@@ -541,10 +676,12 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--instances", type=int, default=9)
     parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--store", action="store_true", help="faults of store and processes only")
     options = parser.parse_args()
+    fault_names = STORE_FAULTS if options.store else ()
     totals: dict[str, int] = defaultdict(int)
     for seed in range(options.first, options.first + options.seeds):
-        soak = LimitSoak(seed, options.instances, options.seconds * 1_000)
+        soak = LimitSoak(seed, options.instances, options.seconds * 1_000, fault_names)
         result = asyncio.run(soak.run())
         totals["violations"] += len(result.violations)
         print(seed, dict(result.outcomes), dict(result.fault_counts), result.violations, flush=True)
--- a/tests/mastickeel_platform/soak_checks.py
+++ b/tests/mastickeel_platform/soak_checks.py
@@ -11,7 +11,7 @@
     import asyncio
     from collections.abc import Sequence
 
-    from tests.mastickeel_platform.standins import RawServer
+    from tests.mastickeel_platform.standins import RawServer, StoreAccess
 
 WINDOW_MS = 4_000
 EXCESS = 1.5
@@ -19,6 +19,8 @@
 CONTACT_MS = 3_000
 """The platform's bounds: what an endpoint may get in a window above its limit, and the time after
 the first answer with a limit, and after an instance's fault, from which on requests count."""
+APPLY_MS = 2_000
+"""Time after its acknowledgement within which a configuration must be in force."""
 DRAIN_MS = 2_000
 """Time after an endpoint has said that it leaves, from which its sender may send nothing."""
 AWAY_FROM_MS = 500
@@ -40,6 +42,10 @@
 first tries, and the failures there that are allowed: a number and a share of all first tries."""
 
 
+Span = tuple[int, int]
+"""Begin and end of a fault in clock milliseconds."""
+
+
 @dataclass(frozen=True)
 class Arrival:
     """A request at an endpoint."""
@@ -108,6 +114,8 @@
     """Spans in which the process was stopped, restarted or cut off."""
     cut_file: Path = Path()
     """File that cuts the process off from endpoints."""
+    access: StoreAccess | None = None
+    """Its access to the store, which may fail alone."""
 
 
 @dataclass(frozen=True)
@@ -157,6 +165,39 @@
     ]
 
 
+@dataclass(frozen=True)
+class Probe:
+    """Request that shows which configuration is in force at an instance."""
+
+    at_ms: int
+    instance: str
+    version: int
+    """Version that added or removed the route."""
+    acked_ms: int
+    is_removed: bool
+    status: int
+
+
+def check_probes(
+    probes: Sequence[Probe], instances: Sequence[Instance], store_faults_ms: Sequence[Span]
+) -> list[str]:
+    """Checks that no instance in touch acts on a version that was replaced in time before.
+
+    An access to the store that fails at some instances alone excuses nothing.
+    """
+    return [
+        f"{probe} by an older version"
+        for probe in probes
+        if probe.at_ms >= probe.acked_ms + APPLY_MS
+        and probe.status == (200 if probe.is_removed else 404)
+        and not has_fault(probe.instance, probe.at_ms, instances)
+        and not any(
+            begin_ms <= probe.at_ms and end_ms + CONTACT_MS >= probe.acked_ms
+            for begin_ms, end_ms in store_faults_ms
+        )
+    ]
+
+
 def check_part(
     part: str,
     crashes_ms: Sequence[int],
--- a/tests/mastickeel_platform/standins.py
+++ b/tests/mastickeel_platform/standins.py
@@ -351,12 +351,17 @@
         is_late = path == "/kv-txn" and not self.writes_allowed.is_set()
         if is_late:
             await self.writes_allowed.wait()
-        answer = await self.store.answer(request, self.refusal_status)
+        answer = await self.store.answer(request, self.refusal_status or self.store.refusal_status)
         if is_late:
             await asyncio.Event().wait()
         await self._hang_if_silent(path)
         writer.write(answer)
 
+    @property
+    def fails(self) -> bool:
+        """Whether this instance is served worse than the others."""
+        return bool(self.silent or self.watches_silent or self.refusal_status)
+
     async def _hang_if_silent(self, path: str) -> None:
         if self.silent or (self.watches_silent and path == "/kv-watch"):
             await asyncio.Event().wait()
--- a/tests/mastickeel_platform/test_limit_soak.py
+++ b/tests/mastickeel_platform/test_limit_soak.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from tests.mastickeel_platform.limit_soak import LimitSoak
+from tests.mastickeel_platform.limit_soak import STORE_FAULTS, LimitSoak
 
 SEEDS = (1, 2)
 INSTANCE_COUNT = 5
@@ -19,6 +19,13 @@
                 self.assertEqual(result.violations, [], result)
                 self.assertGreater(result.outcomes["200"], 0, result)
 
+    async def test_no_instance_in_touch_acts_on_an_older_version(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                result = await LimitSoak(seed, INSTANCE_COUNT, DURATION_MS, STORE_FAULTS).run()
+                self.assertEqual(result.violations, [], result)
+                self.assertGreater(result.outcomes["probe 200"], 0, result)
+
 
 if __name__ == "__main__":
     unittest.main()
