Keep the removals of keys that a peer tells and this instance never knew

A third instance could keep a route or an endpoint that the store had removed: a removal that a peer told was forgotten when its key was not known here, and not told on. Found when reading the change; test_removal_of_a_key_that_only_the_third_view_knew_reaches_it failed before and passes; the state machine holds. Instances that lack a change spread their requests over 200 ms, so that a fleet does not ask one peer at once.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -32,8 +32,9 @@
 """Time that each instance gives those before it in the ranking to announce a change."""
 MAX_ANNOUNCE_MS = 1_000
 OWN_WATCH_MS = 300
-"""Time that the own watch has to bring a change that a peer announced: above the pause of a watch
-after a change."""
+OWN_WATCH_JITTER_MS = 200
+"""Time that the own watch has to bring a change that a peer announced, above the pause of a watch
+after a change, and the time over which instances that lack a change spread their requests."""
 REPLY_TIMEOUT_MS = 300
 DOUBT_INTERVAL_MS = 250
 """Interval at which an instance looks whether its own watch is late."""
@@ -167,7 +168,7 @@
 
     async def _await_change(self, sender: str, notice: RevisionNotice) -> None:
         """Asks the sender of a notice if the own watch does not bring the change."""
-        await self._clock.sleep(OWN_WATCH_MS)
+        await self._clock.sleep(OWN_WATCH_MS + self._rng.uniform(0, OWN_WATCH_JITTER_MS))
         if self._lacks(notice):
             self._follower.reopen()
             await self._ask(sender)
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -137,9 +137,12 @@
             removals += [Removal(key, changes.revision) for key in missing]
             self._complete_since = max(self._complete_since, changes.revision)
         for removal in removals:
+            if not self._is_news(removal.key, removal.revision):
+                continue
             is_known = removal.key in self._items_by_key
-            if is_known and self._is_news(removal.key, removal.revision):
-                self._record_removal(removal)
+            # Also for keys that were written and removed since: another peer may know them.
+            self._record_removal(removal)
+            if is_known:
                 self._handler.on_delete(removal.key, removal.revision)
         for item in changes.items:
             if self._is_shared(item.key) and self._is_news(item.key, item.mod_revision):
--- a/tests/mastickeel_router/storeview/test_view.py
+++ b/tests/mastickeel_router/storeview/test_view.py
@@ -177,6 +177,24 @@
         views[0].apply_peer_changes("peer", views[1].changes_since(10), 3_000)
         self.assertEqual(views[0].age_ms(), 1_500)
 
+    async def test_removal_of_a_key_that_only_the_third_view_knew_reaches_it(self) -> None:
+        clock, era = FakeClock(), StoreEra()
+        listener = Listener()
+        first, second = (
+            StoreView(Listener().handler(), clock, era, lambda key: True) for _ in range(2)
+        )
+        third = StoreView(listener.handler(), clock, era, lambda key: True)
+        for view in (first, second, third):
+            view.handler().on_list((), 10)
+        for view in (first, third):
+            view.handler().on_put(KeyValue("a", b"1", 11, 11, 0))
+            view.handler().on_answer(11)
+        first.handler().on_delete("a", 12)
+        first.handler().on_answer(12)
+        second.apply_peer_changes("first", first.changes_since(second.revision), 0)
+        third.apply_peer_changes("second", second.changes_since(third.revision), 0)
+        self.assertEqual(listener.revisions_by_key, {})
+
     async def test_changes_of_another_era_are_not_applied(self) -> None:
         clock, era = FakeClock(), StoreEra()
         old, new = (StoreView(Listener().handler(), clock, era, lambda key: True) for _ in range(2))
