Refuse a configuration whose routes name a service that is not there

A route to a service that the configuration does not have was put in force, and its callers got 503 until the next version; so were engines without slots and models that cost less than nothing. The checks cover services now. The fixture of test_table.py names its service now, as its routes went to none.

--- a/packages/mastickeel_router/src/mastickeel_router/routes/checks.py
+++ b/packages/mastickeel_router/src/mastickeel_router/routes/checks.py
@@ -8,7 +8,14 @@
 from mastickeel.errors import MastickeelError
 
 if TYPE_CHECKING:
-    from mastickeel_router.routes.model import CallerLimits, Route, RoutingConfiguration
+    from collections.abc import Collection
+
+    from mastickeel_router.routes.model import (
+        CallerLimits,
+        Route,
+        RoutingConfiguration,
+        ServiceTraits,
+    )
 
 
 class UnusableConfigurationError(MastickeelError):
@@ -25,7 +32,9 @@
     Raises:
         UnusableConfigurationError: Lists every fault.
     """
-    faults = [fault for route in configuration.routes for fault in _check_route(route)]
+    services = configuration.services_by_name
+    faults = [fault for route in configuration.routes for fault in _check_route(route, services)]
+    faults += [fault for service in services.values() for fault in _check_service(service)]
     places = Counter((route.host, route.path_prefix) for route in configuration.routes)
     faults += [
         f"{host}{prefix} belongs to {count} routes"
@@ -39,9 +48,13 @@
         raise UnusableConfigurationError("; ".join(faults))
 
 
-def _check_route(route: Route) -> list[str]:
+def _check_route(route: Route, services: Collection[str]) -> list[str]:
     """Returns the faults of one route."""
-    faults = []
+    faults = [
+        f"there is no service {split.service!r}"
+        for split in route.splits
+        if split.service not in services
+    ]
     if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
         faults.append(f"path prefix {route.path_prefix!r}")
     if not route.host:
@@ -59,6 +72,22 @@
     return [f"route {route.name!r}: {fault}" for fault in faults]
 
 
+def _check_service(service: ServiceTraits) -> list[str]:
+    """Returns the faults of one service."""
+    faults = []
+    if service.connections < 0:
+        faults.append(f"{service.connections} connections")
+    if service.engine is not None:
+        if service.engine.slots <= 0 or service.engine.memory_tokens <= 0:
+            faults.append("an engine without slots or memory")
+        faults += [
+            f"model {model.name!r} costs {model.cost}"
+            for model in service.engine.models_by_name.values()
+            if model.cost < 0
+        ]
+    return [f"service {service.name!r}: {fault}" for fault in faults]
+
+
 def _check_limits(limits: CallerLimits) -> list[str]:
     """Returns the faults of the limits on callers' requests."""
     values_by_name = {
--- a/tests/mastickeel_router/routes/test_table.py
+++ b/tests/mastickeel_router/routes/test_table.py
@@ -12,6 +12,7 @@
     RouteKind,
     RouteTable,
     RoutingConfiguration,
+    ServiceTraits,
     Split,
     table,
 )
@@ -23,7 +24,8 @@
 
 
 def configuration(version: int, *routes: Route, **changes) -> RoutingConfiguration:
-    return RoutingConfiguration(version, routes, **changes)
+    services = {"s": ServiceTraits("s", connections=1)}
+    return RoutingConfiguration(version, routes, services, **changes)
 
 
 class RouteTableTest(unittest.TestCase):
