--- a/tests/mastickeel_platform/test_stale_instances.py
+++ b/tests/mastickeel_platform/test_stale_instances.py
@@ -4,8 +4,9 @@
 
 import json
 import unittest
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from mastickeel_router.fleet.broadcast import NoticeBatch
 from tests.mastickeel_platform.gateway_case import FleetTestCase, GatewayTestCase
 from tests.mastickeel_platform.standins import (
     Request,
@@ -105,6 +106,18 @@
         await self.wait_until(lambda: len(self.first.registry.usable("register")) == 1)
         self.assertEqual(self.first.table.version, 9)
 
+    async def test_notice_of_a_change_is_lost_with_a_silent_hub(self) -> None:
+        async def lose(sender: str, batch: NoticeBatch) -> None:
+            return None
+
+        for gateway in self.gateways:
+            link: Any = gateway._link
+            link.register_handler(NoticeBatch, lose)
+        silence_watches(self.accesses[0])
+        revision = self.store.put("op/config", configuration(8, *self.ROUTES, NEW_ROUTE))
+        knowledge: Any = self.first.knowledge
+        await self.wait_until(lambda: knowledge._exchange._announced.revision >= revision)
+
     async def test_version_that_is_written_late_replaces_a_newer_one(self) -> None:
         self.store.put("op/config", configuration(9, *self.ROUTES, NEW_ROUTE))
         for gateway in self.gateways:
