--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -209,7 +209,7 @@
         self._peer_metrics = Metrics()
         self.permit_issuer = PermitIssuer(clock, self.limits)
         """Issues permits for the limited endpoints that this instance schedules."""
-        self._link, self._instances, self._broadcast = self._make_fleet()
+        self._link, self._instances = self._make_fleet()
         self.permits = SendPermits(
             clock,
             self.limits,
@@ -390,13 +390,11 @@
         """Returns the ids of the peers that are in the directory or were there recently."""
         return self._instances.recent_peer_ids if self._instances is not None else ()
 
-    def _make_fleet(
-        self,
-    ) -> tuple[PeerLink | None, InstanceDirectory | None, Broadcast | None]:
-        """Creates link, directory and broadcast; None without `peers` in the settings."""
+    def _make_fleet(self) -> tuple[PeerLink | None, InstanceDirectory | None]:
+        """Creates peer link and instance directory; None without `peers` in the settings."""
         settings = self.settings
         if settings.peers is None:
-            return None, None, None
+            return None, None
         link = PeerLink(
             settings.instance.id,
             clock=self.clock,
@@ -443,7 +441,7 @@
         )
         serve_permits(link, self.permit_issuer)
         serve_admissions(link, self.admission_counter)
-        return link, instances, broadcast
+        return link, instances
 
     def _make_context(self) -> Context:
         return Context(
@@ -499,8 +497,8 @@
         """Creates the knowledge of the store; one watch for all keys, as each call is billed."""
         deployment = self._deployment
         fleet = None
-        if self._link is not None and self._broadcast is not None:
-            fleet = FleetAccess(self._link, self._broadcast, self._rank_of)
+        if self._link is not None:
+            fleet = FleetAccess(self._link, self._rank_of)
         return StoreKnowledge(
             deployment.store,
             handler,
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -25,7 +25,6 @@
     from mastickeel.peers import PeerLink
     from mastickeel.tasks import TaskGroup
     from mastickeel_router.discovery.feeds import StoreFollower
-    from mastickeel_router.fleet.broadcast import Broadcast
     from mastickeel_router.storeview.view import StoreView
 
 ANNOUNCE_STEP_MS = 25
@@ -99,7 +98,6 @@
         follower: StoreFollower,
         *,
         link: PeerLink,
-        broadcast: Broadcast,
         clock: Clock,
         rng: random.Random,
         tasks: TaskGroup,
@@ -111,7 +109,6 @@
             view: This instance's view of the store.
             follower: Reads the store for the view.
             link: Connections to the peers.
-            broadcast: Sends notices to the peers.
             clock: Times announcements and requests.
             rng: Draws the peer that is asked.
             tasks: Runs announcements and requests; stopped by its owner.
@@ -120,7 +117,6 @@
         self._view = view
         self._follower = follower
         self._link = link
-        self._broadcast = broadcast
         self._clock = clock
         self._rng = rng
         self._tasks = tasks
@@ -129,7 +125,7 @@
         self._is_announcing = False
         self._awaited = RevisionNotice(0, 0)
         view.on_progress.append(self._schedule_announcement)
-        broadcast.register_handler(RevisionNotice, self._apply_notice)
+        link.register_handler(RevisionNotice, self._apply_notice)
         link.register_handler(ChangesRequest, self._answer)
 
     async def run(self) -> None:
@@ -157,9 +153,10 @@
         notice = RevisionNotice(self._view.era, self._view.revision)
         if _is_newer(notice, self._announced):
             self._announced = notice
-            self._broadcast.publish(notice)
+            # Not by a hub: one that is frozen would keep the change from all.
+            self._link.multicast(self._link.peer_ids, notice)
 
-    def _apply_notice(self, sender: str, notice: RevisionNotice) -> None:
+    async def _apply_notice(self, sender: str, notice: RevisionNotice) -> None:
         if _is_newer(notice, self._announced):
             self._announced = notice
         if self._lacks(notice) and _is_newer(notice, self._awaited):
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/knowledge.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/knowledge.py
@@ -19,7 +19,6 @@
     from mastickeel.storeport import WatchableStore
     from mastickeel.tasks import TaskGroup
     from mastickeel_router.discovery.feeds import WatchHandler
-    from mastickeel_router.fleet.broadcast import Broadcast
 
 ALL_KEYS_PREFIX = ""
 """Prefix of every key."""
@@ -30,7 +29,6 @@
     """How an instance reaches its peers."""
 
     link: PeerLink
-    broadcast: Broadcast
     rank_of: Callable[[str], int]
     """Returns the rank of this instance among all live ones for a key, from 0."""
 
@@ -72,7 +70,6 @@
                 self._view,
                 self._follower,
                 link=fleet.link,
-                broadcast=fleet.broadcast,
                 clock=clock,
                 rng=rng,
                 tasks=tasks,
