Count calls to the store by cause, and sum them from the logs

Change: a call of a watch is counted once, with the subject of the key that ended it or idle or probe; writes and renewals by what their lease holds. Each instance logs its counts every 5 s (store_calls), and mastickeelctl calls sums the logs.

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/cli.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/cli.py
@@ -20,6 +20,7 @@
 from mastickeel.errors import MastickeelError
 from mastickeel_ctl.client import AdminClient, UnreachableError
 from mastickeel_ctl.loglines import LogLines
+from mastickeel_ctl.storecalls import sum_calls
 from mastickeel_ctl.trace import count_reasons, sample_failed, trace_request
 
 if TYPE_CHECKING:
@@ -161,6 +162,23 @@
         if not self._json:
             _print_missing(lines)
 
+    def calls(self, *files: str, since: str = "", until: str = "") -> None:
+        """Counts the calls to the store in logs, by kind and cause.
+
+        Args:
+            files: Logs of all instances; standard input without a file.
+            since: Start of the period, inclusive, in the logs' time format; empty for no limit.
+            until: End of the period, exclusive, in the logs' time format; empty for no limit.
+        """
+        with _open_logs(files, str(since), str(until)) as lines:
+            ledger = sum_calls(lines)
+        rows = [[call, count, ledger.instance_count] for call, count in ledger.rows]
+        columns = ["call", "count", "instances"]
+        answer = {"rows": rows, "by_second": ledger.counts_by_second, "total": ledger.total}
+        self._print(answer | _count_missing(lines), columns, [*rows, ["total", ledger.total, ""]])
+        if not self._json:
+            _print_missing(lines)
+
     def _print(self, answer: dict[str, Any], columns: list[str], rows: list[list[Any]]) -> None:
         """Prints an answer as JSON, or as a table of the rows."""
         if self._json:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -40,6 +40,7 @@
 from mastickeel_router.gateway.keeping import LostWrites
 from mastickeel_router.gateway.metrics import METRICS_PATH, GatewayMetrics
 from mastickeel_router.gateway.pages import Page, PageListener
+from mastickeel_router.gateway.storecalls import StoreCalls, find_subject
 from mastickeel_router.paths import EndpointPaths, PathMonitor, TunnelListener
 from mastickeel_router.paths.paths import TunnelPeer
 from mastickeel_router.placement import EndpointLoads
@@ -183,8 +184,13 @@
         self.metrics = GatewayMetrics()
         """Metrics of this instance."""
         deployment = make_deployment(self.http)
-        self.store = CountedStore(deployment.store, clock, self.metrics.record_store_call)
+        self.store_calls = StoreCalls(clock)
+        """Ledger of the calls to the store."""
+        self.store = CountedStore(
+            deployment.store, clock, self._record_store_call, self._find_subject
+        )
         """The deployment's store; counts the calls."""
+        self._subjects_by_prefix: dict[str, str] = {}
         self._deployment = replace(deployment, store=self.store)
         self.releases = Releases(
             self._deployment,
@@ -270,6 +276,15 @@
         }
         if self._instances is not None:
             handlers_by_prefix[self._instances.entries_prefix] = self._instances.entry_handler()
+            self._subjects_by_prefix[self._instances.entries_prefix] = "instances"
+        self._subjects_by_prefix |= {
+            self._lost_writes.key: "lost writes",
+            deployment.operator_prefix: "operator",
+            deployment.entries_prefix: "endpoints",
+            self.releases.plans_prefix: "releases",
+            self.releases.duties_prefix: "duties",
+        }
+        self._tasks.start_supervised(self.clock, "report store calls", self.store_calls.run)
         self.knowledge = self._make_knowledge(combine_handlers(handlers_by_prefix))
         if self._link is not None and self._instances is not None and self.settings.peers:
             await self._link.bind(self.settings.peers.listen)
@@ -338,11 +353,19 @@
         await self._health_listener.close()
         await self._metrics_listener.close()
         await self._tasks.stop()
+        self.store_calls.report()
         await self.http.close()
         if self._link is not None:
             await self._link.close()
         log(events.STOPPED, cut_requests=open_requests)
 
+    def _record_store_call(self, kind: str, result: str, cause: str) -> None:
+        self.metrics.record_store_call(kind, result)
+        self.store_calls.record(kind, cause)
+
+    def _find_subject(self, key: str) -> str:
+        return find_subject(key, self._subjects_by_prefix)
+
     def _runs_trial(self, fingerprint: int) -> bool:
         """Whether this instance, of all live ones, runs the trial of a refused content."""
         return self._rank_of(str(fingerprint)) == 0
