Let a few instances of each data centre watch the store for the others

Load pattern: a fleet that is idle or changes slowly; all instances starting at once. Change: the first of each data centre by link and rendezvous watch (three in the fleet, one for 24 members); the others pause their watch, request changes at a quarter of the time within which a change must be in force, and at once when notified. Who hears no watcher in time watches, in the order of the ranking. Nobody grants the role; refusals still rest on the age of the knowledge, and a peer's age counts its reply's way. All keys are exchanged now; replies of older versions, which leave some out, do not move the revision. An instance that was paused vouches for nothing until it has called again. A newcomer lists once and then requests. Others than four preferred instances campaign for the releases' duty only when it stays vacant.

--- a/packages/mastickeel/src/mastickeel/clock.py
+++ b/packages/mastickeel/src/mastickeel/clock.py
@@ -105,9 +105,10 @@
         await self.settle()
         while self._sleepers and self._sleepers[0][0] <= end:
             due, _, wake = heapq.heappop(self._sleepers)
+            if wake.done():
+                continue
             self._step_to(int(due))
-            if not wake.done():
-                wake.set_result(None)
+            wake.set_result(None)
             await self.settle()
         self._step_to(end)
         await self.settle()
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -158,16 +158,46 @@
         self._is_watching = False
         self._reading: asyncio.Task[None] | None = None
         self._is_reopening = False
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+        # The keys are listed again in a new era.
+        store.era.on_change.append(lambda era: self._resumed.set())
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether no further call is made, as the changes arrive in another way."""
+        return not self._resumed.is_set()
 
     @property
     def is_late(self) -> bool:
         """Whether the store has failed, or does not answer the watch in time."""
+        if self.is_paused:
+            return False
         return self._down or self._clock.now() - self._call_began_ms > LATE_MS
 
+    def pause(self) -> None:
+        """Makes no further call once the present one has ended."""
+        self._resumed.clear()
+
+    def resume(self, revision: int) -> None:
+        """Follows the prefix again; the first watch shows at once whether the store answers.
+
+        Args:
+            revision: Revision up to which all changes have become known meanwhile.
+        """
+        if not self.is_paused:
+            return
+        if self.revision is not None and self._era == self._store.era.number:
+            self.revision = max(self.revision, revision)
+        self._unanswered_watches = max(1, self._unanswered_watches)
+        self._resumed.set()
+        self.reopen()
+
     def reopen(self) -> None:
         """Gives a watch up that may have been lost; the next call shows it at once."""
         if (
             self._reading is not None
+            and not self._reading.done()
             and self._is_watching
             and self._clock.now() - self._call_began_ms >= REOPEN_AFTER_MS
         ):
@@ -179,6 +209,7 @@
         this_task = asyncio.current_task()
         assert this_task is not None
         while True:
+            await self._wait_while_paused()
             self._is_reopening = False
             self._reading = asyncio.ensure_future(self._read())
             try:
@@ -197,6 +228,15 @@
                 self.revision = None
                 raise
 
+    async def _wait_while_paused(self) -> None:
+        """Waits while other ways bring the changes; returns at once before the first list."""
+        if not self.is_paused or self.revision is None or self._era != self._store.era.number:
+            return
+        if self._down:
+            self._down = False
+            self._handler.on_recovery()
+        await self._resumed.wait()
+
     async def _read(self) -> None:
         """Lists the prefix if necessary, then watches it until the watch ends."""
         self._call_began_ms = self._clock.now()
@@ -206,6 +246,8 @@
         if self.revision is None or self._must_list:
             self._must_list = False
             await self._list()
+            if self.is_paused:
+                return
             self._call_began_ms = self._clock.now()
         assert self.revision is not None
         probe_timeout_ms = None
@@ -224,6 +266,8 @@
                 has_changes = True
                 continue
             self._handler.on_answer(batch.revision)
+            if self.is_paused:
+                return
             self._call_began_ms = self._clock.now()
             if has_changes:
                 has_changes = False
--- a/packages/mastickeel_router/src/mastickeel_router/duties.py
+++ b/packages/mastickeel_router/src/mastickeel_router/duties.py
@@ -33,8 +33,13 @@
 LEASE_SAFETY_MARGIN_MS = 1_000
 """Time before the earliest possible expiry of the lease at which the holder stops."""
 HELD_POLL_INTERVAL_MS = 9_000
-"""Interval at which a candidate that was told of a holder asks the store, in case it was not told
-that the duty became vacant."""
+"""Interval at which a candidate that knows of a holder reads the duty's key, in case it was not
+notified that the duty became vacant."""
+
+OTHERS_POLL_FACTOR = 4
+"""Factor of that interval for the candidates that are not preferred."""
+PREFERENCE_MS = 1_000
+"""Time for which the preferred instances campaign alone for a duty that may be vacant."""
 
 DUTY_TAKEN = define_event(
     1005, "duty_taken", "info", "This instance became the holder of the duty named."
@@ -72,6 +77,7 @@
         prefix: str,
         clock: Clock,
         is_candidate: Callable[[], bool] = lambda: True,
+        is_preferred: Callable[[], bool] = lambda: True,
         timing: DutyTiming = DEFAULT_TIMING,
     ) -> None:
         """Creates the duty; it is not held until ``run`` has won it.
@@ -84,6 +90,8 @@
             clock: Times the lease.
             is_candidate: Returns whether this instance should campaign; limits the store calls of
                 a large fleet.
+            is_preferred: Returns whether this instance is one of the first that should campaign;
+                the others do so only once the duty has had no holder for some time.
             timing: Lease time and intervals.
         """
         self.name = name
@@ -95,6 +103,8 @@
         self._store = store
         self._clock = clock
         self._is_candidate = is_candidate
+        self._is_preferred = is_preferred
+        self._vacant_since_ms: int | None = None
         self._timing = timing
         self._lease_id = 0
         self._fencing_token = 0
@@ -125,7 +135,7 @@
         """
         while True:
             try:
-                won = self._is_candidate() and self._may_be_vacant() and await self._campaign()
+                won = self._may_campaign() and await self._campaign()
             except StoreError:
                 won = False
             if not won:
@@ -158,10 +168,24 @@
             with contextlib.suppress(StoreError):
                 await self._store.revoke(lease)
 
+    def _may_campaign(self) -> bool:
+        """Returns whether this instance should try to take the duty now."""
+        now = self._clock.now()
+        if not self._is_candidate() or not self._may_be_vacant():
+            self._vacant_since_ms = None
+            return False
+        if self._vacant_since_ms is None:
+            self._vacant_since_ms = now
+        return self._is_preferred() or now - self._vacant_since_ms >= PREFERENCE_MS
+
     def _may_be_vacant(self) -> bool:
         """Returns whether the duty may have no holder, as far as this instance was told."""
-        seen_held_ms = self._seen_held_ms
-        return seen_held_ms is None or self._clock.now() - seen_held_ms >= HELD_POLL_INTERVAL_MS
+        if self._seen_held_ms is None:
+            return True
+        interval_ms = HELD_POLL_INTERVAL_MS
+        if not self._is_preferred():
+            interval_ms *= OTHERS_POLL_FACTOR
+        return self._clock.now() - self._seen_held_ms >= interval_ms
 
     async def _wait_to_campaign(self) -> None:
         """Waits for the campaign interval, or for a short jitter once the duty is vacant."""
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
@@ -122,6 +122,8 @@
     data_centre: str
     link_mbps: float = 0.0
     """Bandwidth of the instance's network link in Mbit/s; 0 when not known."""
+    exchanges_changes: bool = False
+    """Whether the instance exchanges all changes of the store with its peers."""
 
 
 @message("notice_ack")
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -61,6 +61,8 @@
     link_mbps: float = 0.0
     tunnels: str = ""
     """Address at which the instance opens tunnels to endpoints; empty for none."""
+    exchanges_changes: bool = False
+    """Whether the instance exchanges all changes of the store with its peers."""
 
 
 class InstanceDirectory:
@@ -151,7 +153,13 @@
         address = f"{self._host}:{self._link.port}"
         key = f"{self.entries_prefix}{self._link.instance_id}"
         tunnels = f"{self._host}:{self.tunnels_port}" if self.tunnels_port else ""
-        entry = _Entry(address, self._traits.data_centre, self._traits.link_mbps, tunnels)
+        entry = _Entry(
+            address,
+            self._traits.data_centre,
+            self._traits.link_mbps,
+            tunnels,
+            self._traits.exchanges_changes,
+        )
         await self._store.txn((), (Put(key, msgspec.json.encode(entry), lease),))
         log(REGISTERED, address=address, lease=lease)
         return lease
@@ -179,7 +187,9 @@
         self._removed_ms_by_peer.pop(peer_id, None)
         self._link.connect(peer_id, address)
         if entry.data_centre:
-            self.traits_by_peer[peer_id] = PeerTraits(entry.data_centre, entry.link_mbps)
+            self.traits_by_peer[peer_id] = PeerTraits(
+                entry.data_centre, entry.link_mbps, entry.exchanges_changes
+            )
         self.tunnels_by_peer.pop(peer_id, None)
         if tunnels is not None:
             self.tunnels_by_peer[peer_id] = tunnels
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -60,7 +60,7 @@
 from mastickeel_router.relay.memory import AnswerMemory
 from mastickeel_router.releases import ReleaseOrder, Releases
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
-from mastickeel_router.storeview import FleetAccess, StoreKnowledge
+from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
@@ -79,6 +79,8 @@
 connection makes callers try another instance at once; once the listener is open, callers get an
 error with a retry time until the data is loaded."""
 START_CHECK_INTERVAL_MS = 5
+PREFERRED_LEADERS = 4
+"""Number of instances that campaign first for the duty of leading releases."""
 IDLE_CHECK_INTERVAL_MS = 50
 """Interval of checks for open requests during a drain."""
 IDLE_BEFORE_STOP_MS = 200
@@ -198,6 +200,7 @@
             prefix=settings.store.prefix,
             clock=clock,
             session_gap_ms=settings.sessions.gap_ms,
+            is_preferred=lambda: self._rank_of("releases") < PREFERRED_LEADERS,
         )
         """Releases under way; decide on which versions a request may run."""
         self._lost_writes = LostWrites(
@@ -424,7 +427,9 @@
             metrics=self._peer_metrics,
             max_queued_messages=MAX_QUEUED_BATCHES,
         )
-        traits = PeerTraits(settings.instance.data_centre, settings.peers.link_mbps)
+        traits = PeerTraits(
+            settings.instance.data_centre, settings.peers.link_mbps, exchanges_changes=True
+        )
         instances = InstanceDirectory(
             self._deployment.store,
             link,
@@ -520,23 +525,31 @@
         """Creates the knowledge of the store; one watch for all keys, as each call is billed."""
         deployment = self._deployment
         fleet = None
-        if self._link is not None:
-            fleet = FleetAccess(self._link, self._rank_of)
+        if self._link is not None and self.settings.peers is not None:
+            instance = self.settings.instance
+            own = Member(instance.id, instance.data_centre, self.settings.peers.link_mbps)
+            fleet = FleetAccess(self._link, own, self._list_members)
         return StoreKnowledge(
             deployment.store,
             handler,
             clock=self.clock,
             rng=self.rng,
             tasks=self._tasks,
-            shared_prefixes=(
-                deployment.operator_prefix,
-                deployment.entries_prefix,
-                self.releases.plans_prefix,
-            ),
             max_age_ms=self.settings.knowledge.max_age_ms,
             fleet=fleet,
         )
 
+    def _list_members(self) -> list[Member]:
+        """Returns the connected peers that exchange changes of the store."""
+        if self._link is None or self._instances is None:
+            return []
+        traits_by_peer = self._instances.traits_by_peer
+        return [
+            Member(peer, traits.data_centre, traits.link_mbps)
+            for peer in self._link.peer_ids
+            if (traits := traits_by_peer.get(peer)) is not None and traits.exchanges_changes
+        ]
+
     def _make_operator_handler(self) -> WatchHandler:
         def on_list(items: tuple[KeyValue, ...], revision: int) -> None:
             for item in items:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -98,6 +98,7 @@
         prefix: str,
         clock: Clock,
         session_gap_ms: int,
+        is_preferred: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the state without any release.
 
@@ -107,6 +108,8 @@
             prefix: Prefix of the keys of plans and duties.
             clock: Times releases and sessions.
             session_gap_ms: Time after a request for which the version of its session is kept.
+            is_preferred: Returns whether this instance is one of the first that should hold the
+                duty of leading releases.
         """
         self._deployment = deployment
         self._store = deployment.store
@@ -141,6 +144,7 @@
             prefix=prefix,
             clock=clock,
             is_candidate=lambda: bool(self._unsettled()) and not self._leaving,
+            is_preferred=is_preferred,
             timing=DUTY_TIMING,
         )
         self._store.era.on_change.append(lambda era: self._duty.record_new_era())
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/confirmation.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/confirmation.py
@@ -19,7 +19,7 @@
 
 
 class Confirmation:
-    """Asks the store and a peer when the knowledge is older than its bound."""
+    """Requests what is new from the store and a peer when the knowledge is older than its bound."""
 
     def __init__(
         self,
@@ -28,7 +28,7 @@
         clock: Clock,
         *,
         max_age_ms: int,
-        ask_peers: Callable[[], None],
+        request_from_peers: Callable[[], None],
     ) -> None:
         """Creates the confirmation.
 
@@ -37,13 +37,13 @@
             follower: Reads the store for the view.
             clock: Times the confirmations.
             max_age_ms: Age up to which the knowledge counts as recent.
-            ask_peers: Asks a peer for changes in the background.
+            request_from_peers: Requests changes from a peer in the background.
         """
         self._view = view
         self._follower = follower
         self._clock = clock
         self._max_age_ms = max_age_ms
-        self._ask_peers = ask_peers
+        self._request_from_peers = request_from_peers
         self._begun_ms: int | None = None
 
     @property
@@ -53,14 +53,14 @@
         return age_ms is not None and age_ms <= self._max_age_ms
 
     async def confirm(self) -> bool:
-        """Returns whether the knowledge is recent, after asking store and peers if it is not."""
+        """Returns whether the knowledge is recent; calls the store and a peer if it is not."""
         if self.is_recent:
             return True
         now = self._clock.now()
         if self._begun_ms is None or now - self._begun_ms >= RETRY_INTERVAL_MS:
             self._begun_ms = now
             self._follower.reopen()
-            self._ask_peers()
+            self._request_from_peers()
         deadline_ms = self._begun_ms + WAIT_MS
         while not self.is_recent and self._clock.now() < deadline_ms:
             await self._clock.sleep(CHECK_INTERVAL_MS)
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/knowledge.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/knowledge.py
@@ -7,18 +7,19 @@
 
 from mastickeel_router.discovery.feeds import StoreFollower
 from mastickeel_router.storeview.confirmation import Confirmation
-from mastickeel_router.storeview.exchange import ChangeExchange
+from mastickeel_router.storeview.exchange import ChangeExchange, ExchangeTiming
 from mastickeel_router.storeview.view import StoreView
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Iterable
 
     from mastickeel.clock import Clock
     from mastickeel.peers import PeerLink
     from mastickeel.storeport import WatchableStore
     from mastickeel.tasks import TaskGroup
     from mastickeel_router.discovery.feeds import WatchHandler
+    from mastickeel_router.storeview.watchers import Member
 
 ALL_KEYS_PREFIX = ""
 """Prefix of every key."""
@@ -29,8 +30,9 @@
     """How an instance reaches its peers."""
 
     link: PeerLink
-    rank_of: Callable[[str], int]
-    """Returns the rank of this instance among all live ones for a key, from 0."""
+    own: Member
+    list_members: Callable[[], Iterable[Member]]
+    """Returns the peers that exchange changes of the store."""
 
 
 class StoreKnowledge:
@@ -44,7 +46,6 @@
         clock: Clock,
         rng: random.Random,
         tasks: TaskGroup,
-        shared_prefixes: tuple[str, ...],
         max_age_ms: int,
         fleet: FleetAccess | None,
     ) -> None:
@@ -56,13 +57,10 @@
             clock: Times calls and requests.
             rng: Draws delays and peers.
             tasks: Runs what goes on beside the watch; stopped by its owner.
-            shared_prefixes: Prefixes of the keys that instances tell each other about.
             max_age_ms: Age up to which a caller may be refused by the knowledge.
             fleet: The peers; None without any.
         """
-        self._view = StoreView(
-            handler, clock, store.era, lambda key: key.startswith(shared_prefixes)
-        )
+        self._view = StoreView(handler, clock, store.era)
         self._follower = StoreFollower(store, ALL_KEYS_PREFIX, self._view.handler(), clock, rng)
         self._exchange: ChangeExchange | None = None
         if fleet is not None:
@@ -73,14 +71,16 @@
                 clock=clock,
                 rng=rng,
                 tasks=tasks,
-                rank_of=fleet.rank_of,
+                own=fleet.own,
+                list_members=fleet.list_members,
+                timing=ExchangeTiming.for_max_age(max_age_ms),
             )
         self._confirmation = Confirmation(
             self._view,
             self._follower,
             clock,
             max_age_ms=max_age_ms,
-            ask_peers=self._ask_peers,
+            request_from_peers=self._request_from_peers,
         )
 
     def age_ms(self) -> int | None:
@@ -97,9 +97,9 @@
             "follow the store": self._follower.run
         }
         if self._exchange is not None:
-            work["ask peers for changes"] = self._exchange.run
+            work["exchange changes"] = self._exchange.run
         return work
 
-    def _ask_peers(self) -> None:
+    def _request_from_peers(self) -> None:
         if self._exchange is not None:
-            self._exchange.ask_one()
+            self._exchange.request_from_one()
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -21,6 +21,10 @@
     from mastickeel.clock import Clock
     from mastickeel.storeera import StoreEra
 
+OUTAGE_RELEVANT_MS = 5_000
+"""Time after an outage of the store in which keys may be removed because of it."""
+OUTAGE_STEP_MS = 250
+"""Difference up to which two ends of an outage, as peers tell them, are those of one outage."""
 MAX_REMOVALS = 1_024
 """Maximum number of removed keys that are remembered for peers; older ones need a whole copy."""
 
@@ -52,13 +56,19 @@
     removals: tuple[Removal, ...] = ()
     is_whole: bool = False
     """Whether these are all keys, so that a key that is missing was removed."""
+    covers_all: bool = True
+    """Whether keys of all kinds are included; older versions of the program leave some out."""
 
 
 class StoreView:
     """The newest known values of the keys that instances share, and how old this knowledge is."""
 
     def __init__(
-        self, handler: WatchHandler, clock: Clock, era: StoreEra, is_shared: Callable[[str], bool]
+        self,
+        handler: WatchHandler,
+        clock: Clock,
+        era: StoreEra,
+        is_shared: Callable[[str], bool] = lambda key: True,
     ) -> None:
         """Creates a view without any key.
 
@@ -74,6 +84,8 @@
         """Era of the store in which the revision counts; 0 if the store names none."""
         self.on_progress: list[Callable[[], None]] = []
         """Callbacks for each change of a shared key that was read from the store."""
+        self.on_answer: list[Callable[[], None]] = []
+        """Callbacks for each answer of the store, with or without changes."""
         self._handler = handler
         self._clock = clock
         self._store_era = era
@@ -83,6 +95,8 @@
         self._complete_since = 0
         """Revision after which no removal is missing."""
         self._confirmed_ms: int | None = None
+        self._is_down = False
+        self._outage_ended_ms: int | None = None
 
     def handler(self) -> WatchHandler:
         """Returns the handler for the instance's own watch."""
@@ -90,8 +104,8 @@
             self._apply_list,
             self._apply_put,
             self._apply_delete,
-            self._handler.on_outage,
-            self._handler.on_recovery,
+            self._begin_outage,
+            self._end_outage,
             self._begin_era,
             self._record_answer,
         )
@@ -100,6 +114,22 @@
         """Returns the age of the knowledge: what was acknowledged before that time is known."""
         return None if self._confirmed_ms is None else self._clock.now() - self._confirmed_ms
 
+    def outage_age_ms(self) -> int | None:
+        """Returns the time since the newest outage of the store, 0 while it lasts; None for none.
+
+        An outage is known from the own calls or from peers.
+        """
+        if self._is_down:
+            return 0
+        if self._outage_ended_ms is None:
+            return None
+        age_ms = self._clock.now() - self._outage_ended_ms
+        return age_ms if age_ms <= OUTAGE_RELEVANT_MS else None
+
+    def forget_confirmation(self) -> None:
+        """Records that the age of the knowledge is not known until the store or a peer replies."""
+        self._confirmed_ms = None
+
     def changes_since(self, revision: int) -> Changes:
         """Returns the changes of shared keys after a revision, or all keys if some are not known.
 
@@ -112,6 +142,18 @@
         removals = [one for one in self._removals_by_key.values() if one.revision > after]
         return Changes(self.era, self.revision, tuple(items), tuple(removals), is_whole)
 
+    def record_peer_outage(self, ended_ms: int) -> None:
+        """Records an outage of the store that peers have seen, before the changes since then.
+
+        Args:
+            ended_ms: Clock time of its end, or the present time while it lasts.
+        """
+        known_ms = self._outage_ended_ms
+        if known_ms is None or ended_ms > known_ms + OUTAGE_STEP_MS:
+            self._outage_ended_ms = ended_ms
+            self._handler.on_outage()
+            self._handler.on_recovery()
+
     def apply_peer_changes(self, peer: str, changes: Changes, age_ms: int) -> None:
         """Applies changes that another instance has read.
 
@@ -125,13 +167,15 @@
             return
         if changes.revision > self.revision:
             self._apply_newer(changes)
+            if changes.covers_all:
+                self.revision = changes.revision
             log(CHANGES_FROM_PEER, peer=peer, revision=changes.revision, age_ms=age_ms)
         self._record_confirmation(self._clock.now() - age_ms)
 
     def _apply_newer(self, changes: Changes) -> None:
         """Applies the changes after this view's revision."""
         removals = list(changes.removals)
-        if changes.is_whole:
+        if changes.is_whole and changes.covers_all:
             present = {item.key for item in changes.items}
             missing = [key for key in self._items_by_key if key not in present]
             removals += [Removal(key, changes.revision) for key in missing]
@@ -139,16 +183,22 @@
         for removal in removals:
             if not self._is_news(removal.key, removal.revision):
                 continue
-            is_known = removal.key in self._items_by_key
-            # Also for keys that were written and removed since: another peer may know them.
+            # Also of keys that were written and removed since, as by the own watch.
             self._record_removal(removal)
-            if is_known:
-                self._handler.on_delete(removal.key, removal.revision)
+            self._handler.on_delete(removal.key, removal.revision)
         for item in changes.items:
             if self._is_shared(item.key) and self._is_news(item.key, item.mod_revision):
                 self._record_item(item)
                 self._handler.on_put(item)
-        self.revision = changes.revision
+
+    def _begin_outage(self) -> None:
+        self._is_down = True
+        self._handler.on_outage()
+
+    def _end_outage(self) -> None:
+        self._is_down = False
+        self._outage_ended_ms = self._clock.now()
+        self._handler.on_recovery()
 
     def _apply_list(self, items: tuple[KeyValue, ...], revision: int) -> None:
         """Applies a list of all keys; shared keys that are known from a later revision are kept."""
@@ -210,6 +260,8 @@
         """Records that the store has answered, and all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
         self._record_confirmation(self._clock.now())
+        for notify in self.on_answer:
+            notify()
 
     def _record_confirmation(self, at_ms: int) -> None:
         self._confirmed_ms = max(self._confirmed_ms or at_ms, at_ms)
--- a/tests/mastickeel_platform/test_stale_instances.py
+++ b/tests/mastickeel_platform/test_stale_instances.py
@@ -116,7 +116,7 @@
         silence_watches(self.accesses[0])
         revision = self.store.put("op/config", configuration(8, *self.ROUTES, NEW_ROUTE))
         knowledge: Any = self.first.knowledge
-        await self.wait_until(lambda: knowledge._exchange._announced.revision >= revision)
+        await self.wait_until(lambda: knowledge._exchange._notified.revision >= revision)
 
     async def test_version_that_is_written_late_replaces_a_newer_one(self) -> None:
         self.store.put("op/config", configuration(9, *self.ROUTES, NEW_ROUTE))
--- /dev/null
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -0,0 +1,372 @@
+"""Fleets of instances that follow a store, in memory, on a faked clock and a simulated network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from mastickeel._kvtypes import KeyValue, RangeResult, WatchBatch
+from mastickeel.clock import Clock, FakeClock
+from mastickeel.errors import StoreUnavailableError
+from mastickeel.peermessages import encode_content
+from mastickeel.peers import PeerTimeoutError
+from mastickeel.storeera import StoreEra
+from mastickeel.tasks import TaskGroup
+from mastickeel_router.discovery.feeds import WatchHandler
+from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+
+LATENCY_MS = 4
+LINK_MS = 2
+WATCH_WAIT_MS = 2_000
+WATCH_TIMEOUT_MS = 2_400
+CALL_TIMEOUT_MS = 1_500
+MEMBERS_PREFIX = "instances/"
+CHANGE_KEY = "op/config"
+ENVELOPE_BYTES = 60
+
+
+@dataclass
+class Access:
+    """How the store serves one instance."""
+
+    silent: bool = False
+    """Whether calls are left unanswered, also those that wait."""
+    watches_silent: bool = False
+    refuses: bool = False
+
+
+class SharedStore:
+    """Contents of the store."""
+
+    def __init__(self) -> None:
+        self.revision = 10
+        self.items_by_key: dict[str, KeyValue] = {}
+        self.history: list[tuple[int, str, KeyValue | None]] = []
+        self._changed: list[asyncio.Future[None]] = []
+
+    def put(self, key: str, value: bytes) -> int:
+        self.revision += 1
+        created = self.items_by_key[key].create_revision if key in self.items_by_key else 0
+        item = KeyValue(key, value, self.revision, created or self.revision, 0)
+        self.items_by_key[key] = item
+        self._record(key, item)
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        self.revision += 1
+        del self.items_by_key[key]
+        self._record(key, None)
+
+    def changes_after(self, revision: int) -> list[tuple[int, str, KeyValue | None]]:
+        count = 0
+        for change in reversed(self.history):
+            if change[0] <= revision:
+                break
+            count += 1
+        return self.history[len(self.history) - count :]
+
+    def next_change(self) -> asyncio.Future[None]:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._changed.append(future)
+        return future
+
+    def _record(self, key: str, item: KeyValue | None) -> None:
+        self.history.append((self.revision, key, item))
+        changed, self._changed = self._changed, []
+        for future in changed:
+            if not future.done():
+                future.set_result(None)
+
+
+class FrozenClock(Clock):
+    """Clock of an instance that may be frozen: its sleeps end only once it has thawed."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self._clock = clock
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def now(self) -> int:
+        return self._clock.now()
+
+    def wall(self) -> int:
+        return self._clock.wall()
+
+    async def sleep(self, milliseconds: float) -> None:
+        await self._clock.sleep(milliseconds)
+        await self.running.wait()
+
+
+class StoreClient:
+    """One instance's client of the store; counts the calls."""
+
+    def __init__(self, shared: SharedStore, clock: FrozenClock, world: FakeClock) -> None:
+        self.era = StoreEra()
+        self.access = Access()
+        self.calls: Counter[str] = Counter()
+        self._shared = shared
+        self._clock = clock
+        self._world = world
+
+    async def range(self, key: str, *, prefix: bool = False) -> RangeResult:
+        async def read() -> RangeResult:
+            return RangeResult(tuple(self._shared.items_by_key.values()), self._shared.revision)
+
+        return await self._call("range", read, CALL_TIMEOUT_MS)
+
+    async def watch(
+        self, prefix: str, revision: int, *, probe_timeout_ms: int | None = None
+    ) -> AsyncIterator[WatchBatch]:
+        after = revision - 1
+
+        async def wait(wait_ms: int) -> tuple[list[Any], int]:
+            if wait_ms and self._shared.revision <= after:
+                timer = asyncio.ensure_future(self._world.sleep(wait_ms))
+                await asyncio.wait(
+                    [timer, self._shared.next_change()], return_when=asyncio.FIRST_COMPLETED
+                )
+                timer.cancel()
+            return self._shared.changes_after(after), self._shared.revision
+
+        wait_ms, timeout_ms = WATCH_WAIT_MS, float(WATCH_TIMEOUT_MS)
+        if probe_timeout_ms is not None:
+            wait_ms, timeout_ms = 0, float(min(probe_timeout_ms, CALL_TIMEOUT_MS))
+        while True:
+            changes, until = await self._call(
+                "watch", lambda wait_ms=wait_ms: wait(wait_ms), timeout_ms
+            )
+            for number, key, item in changes:
+                if item is None:
+                    yield WatchBatch(number, deletes=(key,))
+                else:
+                    yield WatchBatch(number, puts=(item,))
+            after = until
+            yield WatchBatch(until)
+            wait_ms, timeout_ms = WATCH_WAIT_MS, float(WATCH_TIMEOUT_MS)
+
+    async def _call(
+        self, kind: str, execute: Callable[[], Awaitable[Any]], timeout_ms: float
+    ) -> Any:
+        """Executes a call; raises a store error when it is refused, or lost until its timeout."""
+        self.calls[kind] += 1
+
+        async def answer() -> Any:
+            await self._world.sleep(LATENCY_MS)
+            await self._hang_if_silent(kind)
+            if self.access.refuses:
+                raise StoreUnavailableError("refused")
+            result = await execute()
+            await self._hang_if_silent(kind)
+            return result
+
+        try:
+            result = await self._world.wait_for(answer(), timeout_ms)
+        except TimeoutError as error:
+            raise StoreUnavailableError(f"{kind} did not end") from error
+        finally:
+            # A frozen instance reads an answer only once it has thawed.
+            await self._clock.running.wait()
+        return result
+
+    async def _hang_if_silent(self, kind: str) -> None:
+        if self.access.silent or (self.access.watches_silent and kind == "watch"):
+            await asyncio.Event().wait()
+
+
+class Network:
+    """Links between instances."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.links_by_id: dict[str, Link] = {}
+        self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+
+
+class Link:
+    """Stands in for an instance's ``PeerLink``."""
+
+    def __init__(self, network: Network, instance_id: str, clock: FrozenClock) -> None:
+        self.instance_id = instance_id
+        self.peer_ids: tuple[str, ...] = ()
+        self.sent_bytes = 0
+        self.sent: Counter[str] = Counter()
+        self.clock = clock
+        self._network = network
+        self._handlers_by_type: dict[type[Any], Callable[[str, Any], Awaitable[Any]]] = {}
+        self._tasks = TaskGroup()
+        network.links_by_id[instance_id] = self
+
+    def register_handler(self, kind: type[Any], handler: Any) -> None:
+        self._handlers_by_type[kind] = handler
+
+    def multicast(self, peer_ids: Iterable[str], content: Any) -> None:
+        for peer in peer_ids:
+            self._count(content)
+            self._tasks.start(self._deliver(peer, content))
+
+    async def request(self, peer: str, content: Any, reply_type: Any, timeout_ms: float) -> Any:
+        self._count(content)
+        try:
+            reply = await self._network.clock.wait_for(self._deliver(peer, content), timeout_ms)
+        except TimeoutError as error:
+            raise PeerTimeoutError(peer) from error
+        finally:
+            await self.clock.running.wait()
+        return reply
+
+    async def stop(self) -> None:
+        await self._tasks.stop()
+
+    async def _deliver(self, peer: str, content: Any) -> Any:
+        await self._network.clock.sleep(LINK_MS)
+        receiver = self._network.links_by_id.get(peer)
+        if receiver is None or self._network.is_cut(self.instance_id, peer):
+            await asyncio.Event().wait()
+        assert receiver is not None
+        await receiver.clock.running.wait()
+        reply = await receiver._handlers_by_type[type(content)](self.instance_id, content)
+        if reply is not None:
+            receiver._count(reply)
+        await self._network.clock.sleep(LINK_MS)
+        return reply
+
+    def _count(self, content: Any) -> None:
+        self.sent[type(content).__name__] += 1
+        kind, body = encode_content(content)
+        self.sent_bytes += ENVELOPE_BYTES + len(kind) + len(bytes(body))
+
+
+class SimulatedInstance:
+    """An instance: its knowledge of the store, and the members that it knows by it."""
+
+    def __init__(self, fleet: SimulatedFleet, number: int, data_centre: str) -> None:
+        self.id = f"edge-{number:03d}"
+        self.data_centre = data_centre
+        self.clock = FrozenClock(fleet.clock)
+        self.link = Link(fleet.network, self.id, self.clock)
+        self.store = StoreClient(fleet.store, self.clock, fleet.clock)
+        self.member = Member(self.id, data_centre)
+        self.value = b""
+        self.loaded_ms: int | None = None
+        self.values: list[bytes] = []
+        self.outages = 0
+        self._members_by_id: dict[str, Member] = {}
+        self._fleet = fleet
+        self._tasks = TaskGroup()
+        self.knowledge: Any = StoreKnowledge(
+            self.store,
+            WatchHandler(self._apply_all, self._apply, self._remove, on_outage=self._count_outage),
+            clock=self.clock,
+            rng=random.Random(number),
+            tasks=self._tasks,
+            max_age_ms=fleet.max_age_ms,
+            fleet=FleetAccess(
+                self.link,  # type: ignore[arg-type]
+                self.member,
+                lambda: self._members_by_id.values(),
+            ),
+        )
+
+    @property
+    def is_watching(self) -> bool:
+        return not self.knowledge._follower.is_paused
+
+    def start(self) -> None:
+        for name, work in self.knowledge.work_by_name().items():
+            self._tasks.start_supervised(self.clock, name, work)
+        self._tasks.start(self._register())
+
+    async def stop(self) -> None:
+        self.clock.running.set()
+        self._fleet.network.links_by_id.pop(self.id, None)
+        await self._tasks.stop()
+        await self.link.stop()
+
+    def freeze(self) -> None:
+        self.clock.running.clear()
+
+    def thaw(self) -> None:
+        self.clock.running.set()
+
+    async def _register(self) -> None:
+        await self._fleet.clock.sleep(2 * LATENCY_MS)
+        self._fleet.store.put(f"{MEMBERS_PREFIX}{self.id}", self.data_centre.encode())
+
+    def _apply_all(self, items: tuple[KeyValue, ...], revision: int) -> None:
+        if self.loaded_ms is None:
+            self.loaded_ms = self.clock.now()
+        self._members_by_id.clear()
+        for item in items:
+            self._apply(item)
+
+    def _apply(self, item: KeyValue) -> None:
+        if item.key == CHANGE_KEY:
+            self.value = item.value
+            self.values.append(item.value)
+        elif item.key.startswith(MEMBERS_PREFIX):
+            peer = item.key.removeprefix(MEMBERS_PREFIX)
+            if peer != self.id:
+                self._members_by_id[peer] = Member(peer, item.value.decode())
+        self.link.peer_ids = tuple(self._members_by_id)
+
+    def _remove(self, key: str, revision: int) -> None:
+        self._members_by_id.pop(key.removeprefix(MEMBERS_PREFIX), None)
+        self.link.peer_ids = tuple(self._members_by_id)
+
+    def _count_outage(self) -> None:
+        self.outages += 1
+
+
+class SimulatedFleet:
+    """Instances in data centres, with one store."""
+
+    def __init__(self, data_centres: Iterable[int], *, max_age_ms: int = 2_000) -> None:
+        """Creates instances that have not started.
+
+        Args:
+            data_centres: Number of instances in each data centre.
+            max_age_ms: Time within which a change has to be in force.
+        """
+        self.clock = FakeClock()
+        self.store = SharedStore()
+        self.store.put(CHANGE_KEY, b"0")
+        self.network = Network(self.clock)
+        self.max_age_ms = max_age_ms
+        self.instances: list[SimulatedInstance] = []
+        for position, count in enumerate(data_centres):
+            for _ in range(count):
+                number = len(self.instances)
+                self.instances.append(SimulatedInstance(self, number, f"dc-{position}"))
+
+    async def start(self) -> None:
+        for instance in self.instances:
+            instance.start()
+        await self.clock.advance(self.max_age_ms)
+
+    async def stop(self) -> None:
+        for instance in self.instances:
+            await instance.stop()
+
+    def count_calls(self) -> int:
+        return sum(instance.store.calls.total() for instance in self.instances)
+
+    def list_watchers(self) -> list[SimulatedInstance]:
+        return [instance for instance in self.instances if instance.is_watching]
+
+    async def change(self, value: bytes, *, limit_ms: int, step_ms: int = 20) -> dict[str, int]:
+        """Writes a change; returns by id how long it took to be in force, within the limit."""
+        self.store.put(CHANGE_KEY, value)
+        begin_ms = self.clock.now()
+        in_force_ms: dict[str, int] = {}
+        while self.clock.now() < begin_ms + limit_ms and len(in_force_ms) < len(self.instances):
+            await self.clock.advance(step_ms)
+            for instance in self.instances:
+                if instance.value == value:
+                    in_force_ms.setdefault(instance.id, self.clock.now() - begin_ms)
+        return in_force_ms
--- /dev/null
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -0,0 +1,188 @@
+"""A few instances watch the store for the fleet, and a change is in force everywhere in time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+from mastickeel_router.storeview.watchers import (
+    Member,
+    choose_watcher,
+    is_watcher,
+    rank_watchers,
+)
+from tests.mastickeel_router.storeview.simulation import (
+    CHANGE_KEY,
+    SimulatedFleet,
+    SimulatedInstance,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+APPLY_MS = 2_000
+"""Time within which a change must be in force at each instance that reaches the store or a peer."""
+SETTLED_MS = 6_000
+MEASURED_MS = 20_000
+FAULTS: dict[str, Callable[[SimulatedInstance], None]] = {
+    "frozen": SimulatedInstance.freeze,
+    "refused": lambda one: setattr(one.store.access, "refuses", True),
+    "silent store": lambda one: setattr(one.store.access, "silent", True),
+    "silent watches": lambda one: setattr(one.store.access, "watches_silent", True),
+}
+SEEDS = range(4)
+
+
+class RankingTest(unittest.TestCase):
+    def test_fastest_links_watch_and_others_are_spread_over_them(self) -> None:
+        members = [Member(f"e{number}", "a", 10.0 + 90 * (number < 5)) for number in range(60)]
+        ranking = rank_watchers(members, "a")
+        self.assertEqual(ranking.watcher_count, 3)
+        self.assertLessEqual(set(ranking.watchers), {"e0", "e1", "e2", "e3", "e4"})
+        chosen = {choose_watcher(one, ranking, ()) for one in ranking.ids[3:]}
+        self.assertEqual(chosen, set(ranking.watchers))
+        self.assertNotIn(choose_watcher("e59", ranking, ranking.ids[:1]), ranking.ids[:1])
+
+    def test_small_fleet_has_three_watchers_whatever_its_data_centres(self) -> None:
+        for data_centres in (["a"] * 9, ["a", "b"] * 5, ["a", "b", "c"] * 3):
+            members = [Member(f"e{number}", one) for number, one in enumerate(data_centres)]
+            rankings = [rank_watchers(members, one) for one in set(data_centres)]
+            self.assertGreaterEqual(sum(len(one.watchers) for one in rankings), 3)
+
+    def test_those_first_in_the_ranking_begin_when_no_watcher_is_heard(self) -> None:
+        members = [Member(f"e{number}", one) for number, one in enumerate(["a", "b", "c"] * 13)]
+        ranking = rank_watchers(members, "a")
+
+        def count(unheard_ms: int) -> int:
+            return sum(
+                is_watcher(one, ranking, (), unheard_ms=unheard_ms, patience_ms=1_000)
+                for one in ranking.ids
+            )
+
+        self.assertEqual([count(one) for one in (0, 1_000, 1_101, 2_000)], [1, 1, 3, 13])
+
+
+class WatchersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        # The debug mode of asyncio records a traceback for each of many thousand calls.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def start_fleet(self, data_centres: Sequence[int]) -> SimulatedFleet:
+        fleet = SimulatedFleet(data_centres, max_age_ms=APPLY_MS)
+        self.addAsyncCleanup(fleet.stop)
+        await fleet.start()
+        await fleet.clock.advance(SETTLED_MS)
+        return fleet
+
+    async def test_calls_grow_slower_than_the_fleet(self) -> None:
+        calls = []
+        for data_centres in ([3, 3, 3], [20, 19, 19]):
+            fleet = await self.start_fleet(data_centres)
+            self.assertEqual(len(fleet.list_watchers()), 3)
+            before = fleet.count_calls()
+            await fleet.clock.advance(MEASURED_MS)
+            calls.append(fleet.count_calls() - before)
+        self.assertLessEqual(calls[1], 1.5 * calls[0])
+
+    async def test_start_of_all_makes_few_calls(self) -> None:
+        fleet = SimulatedFleet([20, 19, 19], max_age_ms=APPLY_MS)
+        self.addAsyncCleanup(fleet.stop)
+        await fleet.start()
+        await fleet.clock.advance(SETTLED_MS)
+        self.assertTrue(all(one.loaded_ms is not None for one in fleet.instances))
+        self.assertLessEqual(fleet.count_calls(), 3 * len(fleet.instances))
+
+    async def test_change_is_in_force_at_once_without_trouble(self) -> None:
+        fleet = await self.start_fleet([4, 4, 4])
+        in_force_ms = await fleet.change(b"1", limit_ms=APPLY_MS)
+        self.assertEqual(len(in_force_ms), 12)
+        self.assertLessEqual(max(in_force_ms.values()), APPLY_MS // 4)
+
+    async def check_fault(self, fault: str, seed: int, *, of_all_watchers: bool) -> None:
+        """Breaks watchers, and checks that a change is in force in time at all others."""
+        rng = random.Random(seed)
+        fleet = await self.start_fleet([4, 4, 4])
+        await fleet.clock.advance(rng.randrange(2_000))
+        broken = fleet.list_watchers()
+        if not of_all_watchers:
+            broken = rng.sample(broken, rng.randint(1, len(broken) - 1))
+        for instance in broken:
+            FAULTS[fault](instance)
+        await fleet.clock.advance(rng.choice((0, 300, 1_500, 4_000)))
+        in_force_ms = await fleet.change(b"1", limit_ms=APPLY_MS)
+        # An instance that is frozen, or reaches the store alone, is not in touch.
+        late = {
+            one.id
+            for one in fleet.instances
+            if one.id not in in_force_ms and not (fault == "frozen" and one in broken)
+        }
+        self.assertEqual(late, set(), (fault, seed))
+        await fleet.stop()
+
+    async def test_change_is_late_with_lost_watchers(self) -> None:
+        for fault in FAULTS:
+            for seed in SEEDS:
+                with self.subTest(fault=fault, seed=seed):
+                    await self.check_fault(fault, seed, of_all_watchers=False)
+
+    async def test_change_is_late_when_all_watchers_are_lost_at_once(self) -> None:
+        for fault in FAULTS:
+            for seed in SEEDS:
+                with self.subTest(fault=fault, seed=seed):
+                    await self.check_fault(fault, seed, of_all_watchers=True)
+
+    async def test_parted_data_centres_watch_for_themselves(self) -> None:
+        fleet = await self.start_fleet([4, 4, 4])
+        data_centres = {one.id: one.data_centre for one in fleet.instances}
+        fleet.network.is_cut = lambda sender, receiver: (
+            data_centres[sender] != data_centres[receiver]
+        )
+        self.assertEqual(len(await fleet.change(b"1", limit_ms=APPLY_MS)), 12)
+
+    async def test_instance_without_any_peer_watches_for_itself(self) -> None:
+        fleet = await self.start_fleet([4, 4, 4])
+        lone = fleet.instances[-1]
+        fleet.network.is_cut = lambda sender, receiver: lone.id in (sender, receiver)
+        await fleet.clock.advance(2 * APPLY_MS)
+        self.assertTrue(lone.is_watching)
+        self.assertEqual(len(await fleet.change(b"1", limit_ms=APPLY_MS)), 12)
+        fleet.network.is_cut = lambda sender, receiver: False
+        await fleet.clock.advance(3 * APPLY_MS)
+        self.assertEqual(len(fleet.list_watchers()), 3)
+
+    async def test_watcher_that_was_frozen_vouches_for_what_it_read_before(self) -> None:
+        fleet = await self.start_fleet([1, 1, 1])
+        frozen, other = fleet.list_watchers()[:2]
+        await fleet.clock.advance(300)
+        frozen.freeze()
+        # The answers that it is about to read are from before the change.
+        await fleet.clock.advance(2_500)
+        for instance in fleet.instances:
+            instance.store.access.silent = True
+        other.store.access.silent = frozen.store.access.silent = True
+        fleet.store.put(CHANGE_KEY, b"1")
+        await fleet.clock.advance(APPLY_MS + 500)
+        frozen.thaw()
+        for _ in range(20):
+            confirming = asyncio.ensure_future(other.knowledge.confirm())
+            await fleet.clock.advance(400)
+            self.assertFalse(await confirming and other.value != b"1")
+
+    async def test_keys_removed_in_an_outage_are_told_with_the_outage(self) -> None:
+        fleet = await self.start_fleet([4, 4, 4])
+        fleet.store.put("servers/i-1", b"")
+        await fleet.clock.advance(1_000)
+        for instance in fleet.instances:
+            instance.store.access.refuses = True
+        await fleet.clock.advance(3_000)
+        fleet.store.delete("servers/i-1")
+        for instance in fleet.instances:
+            instance.store.access.refuses = False
+        await fleet.clock.advance(2 * APPLY_MS)
+        self.assertEqual([one.id for one in fleet.instances if not one.outages], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
