--- a/packages/mastickeel_router/src/mastickeel_router/storeview/confirmation.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/confirmation.py
@@ -14,6 +14,8 @@
 WAIT_MS = 300
 """Longest time for which a request waits for a confirmation."""
 CHECK_INTERVAL_MS = 10
+READ_DELAY_MS = 250
+"""Time for which an answer of the store may have been under way or unread when it is dated."""
 RETRY_INTERVAL_MS = 500
 """Time after a failed confirmation in which none is tried: requests are then rejected at once."""
 
@@ -50,7 +52,7 @@
     def is_recent(self) -> bool:
         """Whether all that was acknowledged longer ago than the bound is known."""
         age_ms = self._view.age_ms()
-        return age_ms is not None and age_ms <= self._max_age_ms
+        return age_ms is not None and age_ms <= self._max_age_ms - READ_DELAY_MS
 
     async def confirm(self) -> bool:
         """Returns whether the knowledge is recent; calls the store and a peer if it is not."""
