Open a new connection to a peer that did not reply

Callers would be served by older routes: a connection between instances that has gone silent for good stays in use until the kernel ends it after 6 s, and each request on it is lost. Change: a request for changes that times out closes the connection; the next opens another. Result: test_connections_between_instances_stay_silent_for_good failed before, passes now.

--- a/packages/mastickeel/src/mastickeel/peers.py
+++ b/packages/mastickeel/src/mastickeel/peers.py
@@ -198,6 +198,13 @@
         self._key_index_by_peer.pop(peer_id, None)
         self._close_dealer(peer_id)
 
+    def reconnect(self, peer_id: str) -> None:
+        """Closes the connection to a peer; the next message opens a new one.
+
+        A connection may have gone silent for good although the peer can be reached.
+        """
+        self._close_dealer(peer_id)
+
     def close_idle(self) -> None:
         """Closes idle connections, which keeps their number low in a large fleet."""
         oldest_use_ms = self._clock.now() - MAX_IDLE_MS
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -342,6 +342,8 @@
             return await self._link.request(peer, request, ChangesReply, REPLY_TIMEOUT_MS)
         except (PeerTimeoutError, PeerRefusedError) as error:
             log(PEER_CHANGES_MISSED, peer=peer, error=str(error))
+            if isinstance(error, PeerTimeoutError):
+                self._link.reconnect(peer)
             return None
 
     async def _confirm_outage(self, peer: str, outage_age_ms: int) -> None:
--- a/tests/mastickeel_router/storeview/simulation.py
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -186,6 +186,8 @@
         self.clock = clock
         self.links_by_id: dict[str, Link] = {}
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.silent_connections: set[tuple[str, str]] = set()
+        """Sender and receiver of each open connection that has gone silent for good."""
 
 
 class Link:
@@ -210,6 +212,9 @@
             self._count(content)
             self._tasks.start(self._deliver(peer, content))
 
+    def reconnect(self, peer: str) -> None:
+        self._network.silent_connections.discard((self.instance_id, peer))
+
     async def request(self, peer: str, content: Any, reply_type: Any, timeout_ms: float) -> Any:
         self._count(content)
         try:
@@ -226,7 +231,8 @@
     async def _deliver(self, peer: str, content: Any) -> Any:
         await self._network.clock.sleep(LINK_MS)
         receiver = self._network.links_by_id.get(peer)
-        if receiver is None or self._network.is_cut(self.instance_id, peer):
+        is_silent = (self.instance_id, peer) in self._network.silent_connections
+        if receiver is None or is_silent or self._network.is_cut(self.instance_id, peer):
             await asyncio.Event().wait()
         assert receiver is not None
         await receiver.clock.running.wait()
--- a/tests/mastickeel_router/storeview/test_watchers.py
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -141,6 +141,15 @@
         )
         self.assertEqual(len(await fleet.change(b"1", limit_ms=APPLY_MS)), 12)
 
+    async def test_connections_between_instances_stay_silent_for_good(self) -> None:
+        fleet = await self.start_fleet([4, 4, 4])
+        ids = [one.id for one in fleet.instances]
+        fleet.network.silent_connections = {(one, other) for one in ids for other in ids}
+        self.assertEqual(len(await fleet.change(b"1", limit_ms=APPLY_MS)), 12)
+        # Those that had to stand in for the watchers leave the store to them again.
+        await fleet.clock.advance(3 * APPLY_MS)
+        self.assertEqual(len(fleet.list_watchers()), 3)
+
     async def test_instance_without_any_peer_watches_for_itself(self) -> None:
         fleet = await self.start_fleet([4, 4, 4])
         lone = fleet.instances[-1]
