--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gauges.py
@@ -22,6 +22,7 @@
     from mastickeel_router.relay.memory import AnswerMemory
     from mastickeel_router.releases import Releases
     from mastickeel_router.routes import RouteTable
+    from mastickeel_router.storeview import StoreKnowledge
 
 PEER_COUNTERS = {
     "sent": "Messages sent to other instances",
@@ -51,6 +52,7 @@
     path_monitor: PathMonitor
     paths: EndpointPaths
     tunnels: TunnelListener
+    knowledge: StoreKnowledge | None
 
     def knowledge_age_ms(self) -> int | None:
         """Returns the age of what is known of the store; None before the first list."""
@@ -138,6 +140,11 @@
         "Age of what is known of the store, by the own watch or by other instances",
         lambda: _to_seconds(gateway.knowledge_age_ms()),
     )
+    metrics.add_gauge(
+        "watches_store",
+        "Whether it watches the store by itself",
+        lambda: gateway.knowledge is not None and gateway.knowledge.is_watching,
+    )
     metrics.add_gauge(
         "store_era", "Era of the store; 0 if not known", lambda: gateway.store.era.number or 0
     )
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -28,6 +28,7 @@
 
     from mastickeel.clock import Clock
     from mastickeel.peers import PeerLink
+    from mastickeel.storeera import StoreEra
     from mastickeel.tasks import TaskGroup
     from mastickeel_router.discovery.feeds import StoreFollower
     from mastickeel_router.storeview.view import StoreView
@@ -150,6 +151,7 @@
         clock: Clock,
         rng: random.Random,
         tasks: TaskGroup,
+        era: StoreEra,
         own: Member,
         list_members: Callable[[], Iterable[Member]],
         timing: ExchangeTiming,
@@ -163,6 +165,7 @@
             clock: Times notices and requests.
             rng: Draws delays and peers.
             tasks: Runs notices and requests; stopped by its owner.
+            era: The store's era, as this instance's calls know it.
             own: This instance.
             list_members: Returns the peers that take part in the exchange.
             timing: Intervals of the exchange.
@@ -173,6 +176,7 @@
         self._clock = clock
         self._rng = rng
         self._tasks = tasks
+        self._era = era
         self._own = own
         self._list_members = list_members
         self._timing = timing
@@ -289,7 +293,13 @@
         known = {one.id for one in members}
         return recipients + [peer for peer in self._link.peer_ids if peer not in known]
 
+    def _observe_era(self, number: int) -> None:
+        """Records the era that a peer names; the keys are listed again in a later one."""
+        if self._era.number is not None and number > self._era.number:
+            self._era.observe(number)
+
     async def _apply_notice(self, sender: str, notice: RevisionNotice) -> None:
+        self._observe_era(notice.era)
         if sender in self._rank_own().ids and _is_newer(notice, self._notified):
             self._notified = notice
         if self._lacks(notice) and _is_newer(notice, self._awaited):
@@ -318,6 +328,8 @@
         begin_ms = self._clock.now()
         reply = await self._fetch(peer)
         now = self._clock.now()
+        if reply is not None:
+            self._observe_era(reply.era)
         if reply is None or reply.age_ms is None:
             self._suspected_until_ms[peer] = now + SUSPICION_MS
             return False
@@ -367,6 +379,7 @@
 
     async def _answer(self, sender: str, request: ChangesRequest) -> ChangesReply:
         view = self._view
+        self._observe_era(request.era)
         if request.era != view.era or not view.revision or self._was_paused:
             return ChangesReply(view.era, 0, None)
         changes = view.changes_since(request.revision)
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/knowledge.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/knowledge.py
@@ -71,6 +71,7 @@
                 clock=clock,
                 rng=rng,
                 tasks=tasks,
+                era=store.era,
                 own=fleet.own,
                 list_members=fleet.list_members,
                 timing=ExchangeTiming.for_max_age(max_age_ms),
@@ -87,6 +88,11 @@
         """Returns the age of the knowledge: what was acknowledged before that time is known."""
         return self._view.age_ms()
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether this instance watches the store by itself."""
+        return not self._follower.is_paused
+
     async def confirm(self) -> bool:
         """Returns whether a caller may be refused by the knowledge, confirming it if necessary."""
         return await self._confirmation.confirm()
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/watchers.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/watchers.py
@@ -17,7 +17,7 @@
 
 MIN_WATCHERS = 3
 """Least number of instances of the fleet that watch the store, if it has so many."""
-MEMBERS_PER_WATCHER = 24
+MEMBERS_PER_WATCHER = 20
 """Members of a data centre that learn of changes from one watcher; bounds what it sends."""
 STAGGER_MS = 50
 """Time that each instance gives those before it in the ranking to watch in place of lost ones."""
--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -10,11 +10,14 @@
 import argparse
 import asyncio
 import contextlib
+import io
 import json
 import os
 import random
 import signal
+import subprocess
 import sys
+import tarfile
 import tempfile
 import zlib
 from collections import Counter, defaultdict
@@ -128,6 +131,7 @@
         duration_ms: int,
         fault_names: Sequence[str] = (),
         log_folder: Path | None = None,
+        older_sources: Path | None = None,
     ) -> None:
         """Creates a run that has not started.
 
@@ -137,7 +141,11 @@
             duration_ms: Time under faults.
             fault_names: Names of the faults to inject; none for all.
             log_folder: Folder for the logs of the processes; None to keep none.
+            older_sources: Tree of an older version, which every second instance runs until its
+                first restart, and again after the next; None to run this version alone.
         """
+        self._older_sources = older_sources
+        self._start_counts: Counter[str] = Counter()
         self._log_folder = log_folder
         self._refusals_by_id: dict[str, dict[str, Any]] = {}
         self._fault_names = fault_names
@@ -266,6 +274,13 @@
         instance.cut_file = folder / f"{instance.id}.cut"
         instance.cut_file.touch()
         path.write_text(text.replace('level = "error"', 'level = "info"') + PEERS)
+        number = self._instances.index(instance) + self._start_counts[instance.id]
+        self._start_counts[instance.id] += 1
+        sources = {}
+        if self._older_sources is not None and number % 2:
+            sources["PYTHONPATH"] = os.pathsep.join(
+                str(folder) for folder in list_source_folders(self._older_sources)
+            )
         process = instance.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -275,7 +290,9 @@
                 **os.environ,
                 "MASTICKEEL_CONFIG": str(path),
                 "CUT_FILE": str(instance.cut_file),
+                **sources,
             },
+            cwd=self._older_sources if sources else None,
             stdout=asyncio.subprocess.PIPE,
         )
         await self._clock.wait_for(self._read_port(instance), START_TIMEOUT_MS)
@@ -726,6 +743,33 @@
     return request_bytes("/look/a", request_id, body=body, headers=headers)
 
 
+def list_source_folders(tree: Path) -> list[Path]:
+    """Returns the folders of a tree that Python's path has to hold."""
+    return [*sorted(tree.glob("packages/*/src")), tree / "platform" / "src", tree]
+
+
+def extract_sources(commit: str, folder: Path) -> None:
+    """Writes the sources of a commit of this repository's history to a folder.
+
+    Raises:
+        RuntimeError: The history does not hold the commit.
+    """
+    root = Path(__file__).parents[2]
+    archive = subprocess.run(
+        ["git", "archive", commit, "packages", "platform", "tests"],
+        cwd=root,
+        capture_output=True,
+        check=False,
+    )
+    if archive.returncode:
+        raise RuntimeError(
+            f"This clone does not hold commit {commit}; fetch the whole history."
+            f" {archive.stderr.decode().strip()}"
+        )
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as sources:
+        sources.extractall(folder, filter="data")
+
+
 def main() -> int:
     """Runs several seeds and prints a line for each; returns 1 after a violation."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -735,16 +779,32 @@
     parser.add_argument("--seconds", type=int, default=20)
     parser.add_argument("--store", action="store_true", help="faults of store and processes only")
     parser.add_argument("--logs", type=Path, help="folder in which the processes' logs are kept")
+    parser.add_argument("--older", help="commit that every second instance runs")
     options = parser.parse_args()
     fault_names = STORE_FAULTS if options.store else ()
     totals: dict[str, int] = defaultdict(int)
-    for seed in range(options.first, options.first + options.seeds):
-        soak = LimitSoak(
-            seed, options.instances, options.seconds * 1_000, fault_names, options.logs
-        )
-        result = asyncio.run(soak.run())
-        totals["violations"] += len(result.violations)
-        print(seed, dict(result.outcomes), dict(result.fault_counts), result.violations, flush=True)
+    with tempfile.TemporaryDirectory() as folder:
+        older_sources = Path(folder) if options.older else None
+        if older_sources is not None:
+            extract_sources(options.older, older_sources)
+        for seed in range(options.first, options.first + options.seeds):
+            soak = LimitSoak(
+                seed,
+                options.instances,
+                options.seconds * 1_000,
+                fault_names,
+                options.logs,
+                older_sources,
+            )
+            result = asyncio.run(soak.run())
+            totals["violations"] += len(result.violations)
+            print(
+                seed,
+                dict(result.outcomes),
+                dict(result.fault_counts),
+                result.violations,
+                flush=True,
+            )
     print(json.dumps(totals))
     return 1 if totals["violations"] else 0
 
--- a/tests/mastickeel_router/storeview/simulation.py
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -1,4 +1,7 @@
-"""Fleets of instances that follow a store, in memory, on a faked clock and a simulated network."""
+"""Fleets of instances that follow a store, in memory, on a faked clock and a simulated network.
+
+``python -m tests.mastickeel_router.storeview.simulation`` measures fleets of several sizes.
+"""
 
 from __future__ import annotations
 
@@ -8,18 +11,20 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from mastickeel._kvtypes import KeyValue, RangeResult, WatchBatch
 from mastickeel.clock import Clock, FakeClock
-from mastickeel.errors import StoreUnavailableError
+from mastickeel.errors import StoreEraChangedError, StoreUnavailableError
 from mastickeel.peermessages import encode_content
-from mastickeel.peers import PeerTimeoutError
+from mastickeel.peers import Envelope, PeerTimeoutError
 from mastickeel.storeera import StoreEra
 from mastickeel.tasks import TaskGroup
 from mastickeel_router.discovery.feeds import WatchHandler
 from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
 
 LATENCY_MS = 4
 LINK_MS = 2
@@ -28,7 +33,16 @@
 CALL_TIMEOUT_MS = 1_500
 MEMBERS_PREFIX = "instances/"
 CHANGE_KEY = "op/config"
-ENVELOPE_BYTES = 60
+START_MS = 5_000
+IDLE_MS = 20_000
+CHANGES = 5
+SIZES = (
+    ((3, 3, 3), 2_000),
+    ((20, 19, 19), 3_000),
+    ((39, 39, 39, 39, 39), 4_000),
+    ((88, 88, 87, 87), 4_000),
+)
+"""Instances in each data centre, and the time within which a change has to be in force."""
 
 
 @dataclass
@@ -46,6 +60,7 @@
 
     def __init__(self) -> None:
         self.revision = 10
+        self.era = 1
         self.items_by_key: dict[str, KeyValue] = {}
         self.history: list[tuple[int, str, KeyValue | None]] = []
         self._changed: list[asyncio.Future[None]] = []
@@ -63,6 +78,13 @@
         del self.items_by_key[key]
         self._record(key, None)
 
+    def restore(self, items_by_key: dict[str, KeyValue], revision: int) -> None:
+        """Comes back from an older copy; revisions are given out again."""
+        self.items_by_key, self.revision = dict(items_by_key), revision
+        self.history = [change for change in self.history if change[0] <= revision]
+        self.era += 1
+        self._wake_watches()
+
     def changes_after(self, revision: int) -> list[tuple[int, str, KeyValue | None]]:
         count = 0
         for change in reversed(self.history):
@@ -78,6 +100,9 @@
 
     def _record(self, key: str, item: KeyValue | None) -> None:
         self.history.append((self.revision, key, item))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, []
         for future in changed:
             if not future.done():
@@ -123,7 +148,7 @@
     async def watch(
         self, prefix: str, revision: int, *, probe_timeout_ms: int | None = None
     ) -> AsyncIterator[WatchBatch]:
-        after = revision - 1
+        after, era = revision - 1, self.era.number
 
         async def wait(wait_ms: int) -> tuple[list[Any], int]:
             if wait_ms and self._shared.revision <= after:
@@ -141,6 +166,8 @@
             changes, until = await self._call(
                 "watch", lambda wait_ms=wait_ms: wait(wait_ms), timeout_ms
             )
+            if self.era.number != era:
+                raise StoreEraChangedError(f"The watch began in era {era}.")
             for number, key, item in changes:
                 if item is None:
                     yield WatchBatch(number, deletes=(key,))
@@ -163,6 +190,7 @@
                 raise StoreUnavailableError("refused")
             result = await execute()
             await self._hang_if_silent(kind)
+            self.era.observe(self._shared.era)
             return result
 
         try:
@@ -245,7 +273,8 @@
     def _count(self, content: Any) -> None:
         self.sent[type(content).__name__] += 1
         kind, body = encode_content(content)
-        self.sent_bytes += ENVELOPE_BYTES + len(kind) + len(bytes(body))
+        envelope = Envelope(1, kind, self.instance_id, 1_000, 0, body)
+        self.sent_bytes += len(msgspec.msgpack.encode(envelope))
 
 
 class SimulatedInstance:
@@ -376,3 +405,46 @@
                 if instance.value == value:
                     in_force_ms.setdefault(instance.id, self.clock.now() - begin_ms)
         return in_force_ms
+
+
+async def measure(data_centres: Sequence[int], max_age_ms: int) -> str:
+    """Returns a line with the calls and bytes of a fleet that starts, idles and gets changes."""
+    fleet = SimulatedFleet(data_centres, max_age_ms=max_age_ms)
+    await fleet.start()
+    await fleet.clock.advance(START_MS - max_age_ms)
+    start_calls = fleet.count_calls()
+    watchers = {one.id for one in fleet.list_watchers()}
+    before = {one.id: one.link.sent_bytes for one in fleet.instances}
+    await fleet.clock.advance(IDLE_MS)
+    idle_calls = fleet.count_calls() - start_calls
+    sent = {one.id: one.link.sent_bytes - before[one.id] for one in fleet.instances}
+    times: list[int] = []
+    for number in range(CHANGES):
+        value = str(number).encode()
+        times += (await fleet.change(value, limit_ms=max_age_ms)).values()
+    change_calls = fleet.count_calls() - start_calls - idle_calls
+    times.sort()
+    count = len(fleet.instances)
+    await fleet.stop()
+    followers = [number for one, number in sent.items() if one not in watchers] or [0]
+    return (
+        f"{count} instances, {len(watchers)} watchers:"
+        f" {start_calls / count:.2f} calls an instance in the first {START_MS / 1_000:g} s,"
+        f" {idle_calls * 1_000 / IDLE_MS:.2f} calls/s idle,"
+        f" {change_calls / CHANGES:.1f} calls a change;"
+        f" sent B/s: watcher at most {max(sent[one] for one in watchers) * 1_000 // IDLE_MS},"
+        f" follower at most {max(followers) * 1_000 // IDLE_MS};"
+        f" in force after {times[len(times) // 2]} ms (median),"
+        f" {times[len(times) * 99 // 100]} (99 in 100), {times[-1]} (most),"
+        f" {count * CHANGES - len(times)} not in time"
+    )
+
+
+def main() -> None:
+    """Measures fleets of several sizes."""
+    for data_centres, max_age_ms in SIZES:
+        print(asyncio.run(measure(data_centres, max_age_ms)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/mastickeel_router/storeview/test_watchers.py
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -161,6 +161,17 @@
         await fleet.clock.advance(3 * APPLY_MS)
         self.assertEqual(len(fleet.list_watchers()), 3)
 
+    async def test_era_of_the_store_is_unknown_to_those_that_do_not_watch(self) -> None:
+        fleet = await self.start_fleet([4, 4, 4])
+        copy, revision = dict(fleet.store.items_by_key), fleet.store.revision
+        for number in range(5):
+            fleet.store.put(CHANGE_KEY, str(number).encode())
+        await fleet.clock.advance(1_000)
+        fleet.store.restore(copy, revision)
+        self.assertEqual(len(await fleet.change(b"after", limit_ms=APPLY_MS)), 12)
+        await fleet.clock.advance(3 * APPLY_MS)
+        self.assertEqual(len(fleet.list_watchers()), 3)
+
     async def test_watcher_that_was_frozen_vouches_for_what_it_read_before(self) -> None:
         fleet = await self.start_fleet([1, 1, 1])
         frozen, other = fleet.list_watchers()[:2]
