--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -333,6 +333,7 @@
         deadline_ms = self.clock.now() + stop.grace_ms - stop.reserve_ms
         self.stopping = True
         self.tunnels.refuse_new()
+        self.store_calls.report()
         log(events.STOPPING, open_requests=self.listener.open_requests)
         self.listener.disable_keep_alive()
         # In the background: a store that does not answer must not use up the grace period.
@@ -356,7 +357,6 @@
         await self._health_listener.close()
         await self._metrics_listener.close()
         await self._tasks.stop()
-        self.store_calls.report()
         await self.http.close()
         if self._link is not None:
             await self._link.close()
--- a/tests/mastickeel_router/storeview/test_confirmation.py
+++ b/tests/mastickeel_router/storeview/test_confirmation.py
@@ -27,7 +27,7 @@
         confirmation = Confirmation(
             view, follower, clock, max_age_ms=MAX_AGE_MS, request_from_peers=lambda: None
         )
-        item = KeyValue("op/config", b"", 5, 5, 0)
+        item = KeyValue("routes/all", b"", 5, 5, 0)
         formed_ms = clock.now()
         await clock.advance(DELAY_MS)
         view.handler().on_list((item,), 5)
--- a/tests/mastickeel_router/storeview/test_watchers.py
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -192,12 +192,12 @@
 
     async def test_keys_removed_in_an_outage_are_told_with_the_outage(self) -> None:
         fleet = await self.start_fleet([4, 4, 4])
-        fleet.store.put("servers/i-1", b"")
+        fleet.store.put("endpoints/i-1", b"")
         await fleet.clock.advance(1_000)
         for instance in fleet.instances:
             instance.store.access.refuses = True
         await fleet.clock.advance(3_000)
-        fleet.store.delete("servers/i-1")
+        fleet.store.delete("endpoints/i-1")
         for instance in fleet.instances:
             instance.store.access.refuses = False
         await fleet.clock.advance(2 * APPLY_MS)
