Close only connections on which nothing came back

A peer that is busy but replies to others' requests keeps its connection: closing it would drop the messages that wait there. Test with real sockets.

--- a/packages/mastickeel/src/mastickeel/peers.py
+++ b/packages/mastickeel/src/mastickeel/peers.py
@@ -199,11 +199,14 @@
         self._close_dealer(peer_id)
 
     def reconnect(self, peer_id: str) -> None:
-        """Closes the connection to a peer; the next message opens a new one.
+        """Closes a connection on which nothing was received since a request was sent.
 
-        A connection may have gone silent for good although the peer can be reached.
+        It may have gone silent for good although the peer can be reached; the next message opens
+        a new one.
         """
-        self._close_dealer(peer_id)
+        dealer = self._dealers_by_peer.get(peer_id)
+        if dealer is not None and dealer.waiting_since_ms is not None:
+            self._close_dealer(peer_id)
 
     def close_idle(self) -> None:
         """Closes idle connections, which keeps their number low in a large fleet."""
