Do not take a reply of an older version for the whole store

A fleet with two builds: an older build's reply leaves out duties and registrations; it counted as hearing a watcher. Suspicions of peers that are gone are dropped as well. Test: test_reply_of_an_older_version_hides_the_keys_that_it_leaves_out.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -236,7 +236,10 @@
 
     def _list_suspected(self) -> set[str]:
         now = self._clock.now()
-        return {peer for peer, until_ms in self._suspected_until_ms.items() if until_ms > now}
+        self._suspected_until_ms = {
+            peer: until_ms for peer, until_ms in self._suspected_until_ms.items() if until_ms > now
+        }
+        return set(self._suspected_until_ms)
 
     def _choose_watcher(self) -> str | None:
         return choose_watcher(self._own.id, self._rank_own(), self._list_suspected())
@@ -340,6 +343,8 @@
         self._view.apply_peer_changes(peer, _read_changes(reply), age_ms)
         if self._view.revision > revision and peer not in self._rank_own().ids:
             self._schedule_notice()
+        if not reply.covers_all:
+            return False
         if age_ms > LATE_MS:
             self._suspected_until_ms[peer] = now + SUSPICION_MS
             return False
--- a/tests/mastickeel_router/storeview/test_view.py
+++ b/tests/mastickeel_router/storeview/test_view.py
@@ -15,7 +15,7 @@
 from mastickeel.storeera import StoreEra
 from mastickeel_router.discovery.feeds import WatchHandler
 from mastickeel_router.storeview import view as view_module
-from mastickeel_router.storeview.view import StoreView
+from mastickeel_router.storeview.view import Changes, StoreView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -205,6 +205,18 @@
         old.apply_peer_changes("peer", new.changes_since(0), 0)
         self.assertEqual((new.revision, old.revision), (20, 50))
 
+    def test_reply_of_an_older_version_hides_the_keys_that_it_leaves_out(self) -> None:
+        clock, era = FakeClock(), StoreEra()
+        era.observe(1)
+        listener = Listener()
+        view = StoreView(listener.handler(), clock, era)
+        view.handler().on_list((), 10)
+        routes = KeyValue("shared/a", b"", 12, 12, 0)
+        view.apply_peer_changes("old", Changes(1, 12, (routes,), covers_all=False), 0)
+        self.assertEqual((view.revision, listener.revisions_by_key), (10, {"shared/a": 12}))
+        view.handler().on_put(KeyValue("other/a", b"", 11, 11, 0))
+        self.assertIn("other/a", listener.revisions_by_key)
+
 
 if __name__ == "__main__":
     unittest.main()
