--- a/bench/histories/billing.py
+++ b/bench/histories/billing.py
@@ -18,8 +18,8 @@
 from mastickeel_router.billing import copies as copies_module
 from mastickeel_router.billing import ledger as ledger_module
 from mastickeel_router.billing import replication as replication_module
-from mastickeel_router.quarantine import Quarantine
 from mastickeel_router.quarantine import guard as guard_module
+from mastickeel_router.quarantine.guard import Quarantine
 from mastickeel_router.quarantine.replica import MAX_CRASHES
 from mastickeel_router.requests import ChatRequest
 from tests.ledgers import Ledgers, make_bill
--- a/bench/measure/admission.py
+++ b/bench/measure/admission.py
@@ -11,7 +11,7 @@
 from mastickeel.errors import MastickeelError
 from mastickeel.model import Account, Configuration, Endpoint, View
 from mastickeel_router.admission import CeilingCoordinator, CeilingReachedError, Ceilings
-from mastickeel_router.quarantine import Quarantine
+from mastickeel_router.quarantine.guard import Quarantine
 from mastickeel_router.requests import ChatRequest
 from tests.peers import Nodes
 
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -8,7 +8,13 @@
 from mastickeel.addresses import Address  # noqa: TC001 - cattrs resolves it at run time
 from mastickeel.errors import SettingsError
 from mastickeel.logs import LEVELS_BY_NAME
-from mastickeel.settings import InstanceSettings, LogSettings, StoreSettings, read_text, structure
+from mastickeel.settingsfile import (
+    InstanceSettings,
+    LogSettings,
+    StoreSettings,
+    read_text,
+    structure,
+)
 from mastickeel_router.relay.budget import RetryLimits
 
 if TYPE_CHECKING:
--- a/packages/mastickeel_router/src/mastickeel_router/overview.py
+++ b/packages/mastickeel_router/src/mastickeel_router/overview.py
@@ -19,7 +19,7 @@
     from mastickeel_router.dispatch.endpoints import EndpointTable
     from mastickeel_router.membership import Members
     from mastickeel_router.operators.fleet_tables import FleetTables
-    from mastickeel_router.quarantine import Quarantine
+    from mastickeel_router.quarantine.guard import Quarantine
     from mastickeel_router.rollouts import RolloutService
     from mastickeel_router.tables import Catalogue
 
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
@@ -16,7 +16,7 @@
 from mastickeel.events import define_event
 from mastickeel.logs import log
 from mastickeel.peers import message
-from mastickeel_router.quarantine.replica import CRASH_TTL_MS
+from mastickeel_router.quarantine.limits import CRASH_TTL_MS
 from mastickeel_router.quarantine.reports import (
     RESEND_FOR_MS,
     RESEND_INTERVAL_MS,
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/replica.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/replica.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.peers import message
+from mastickeel_router.quarantine.limits import CRASH_TTL_MS, MAX_CONTENTS
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -20,13 +21,10 @@
 
 MAX_CRASHES = 2
 """Crashes after which a content is refused."""
-CRASH_TTL_MS = 600_000
-"""How long a crash counts, and how long a content is refused after its last crash."""
 PROOF_TTL_MS = 600_000
 """How long a content that completed on a version may run there without permits."""
 PERMIT_TTL_MS = 120_000
 """Lifetime of a permit that is never released, such as after a crash of its instance."""
-MAX_CONTENTS = 20_000
 
 
 class Verdict(StrEnum):
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/reports.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/reports.py
@@ -19,7 +19,7 @@
 from mastickeel.logs import log
 from mastickeel.peers import message
 from mastickeel_router.quarantine.fingerprints import format_fingerprint
-from mastickeel_router.quarantine.replica import CRASH_TTL_MS, MAX_CONTENTS
+from mastickeel_router.quarantine.limits import CRASH_TTL_MS, MAX_CONTENTS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/mastickeel_router/src/mastickeel_router/router.py
+++ b/packages/mastickeel_router/src/mastickeel_router/router.py
@@ -37,7 +37,7 @@
 from mastickeel_router.listeners import listen
 from mastickeel_router.operators.fleet_tables import FleetTables
 from mastickeel_router.overview import OverviewSources, register_overview_tables
-from mastickeel_router.quarantine import Quarantine
+from mastickeel_router.quarantine.guard import Quarantine
 from mastickeel_router.rollouts import EngineOrders, RolloutService
 from mastickeel_router.tables import Catalogue
 
--- a/tests/mastickeel_router/quarantine/test_parts.py
+++ b/tests/mastickeel_router/quarantine/test_parts.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from mastickeel.clock import FakeClock
+from mastickeel_router.quarantine.limits import CRASH_TTL_MS
 from mastickeel_router.quarantine.parts import (
     MAX_SUSPECTS,
     MIN_CRASHES,
@@ -20,7 +21,6 @@
     PartSuspicions,
     list_part_keys,
 )
-from mastickeel_router.quarantine.replica import CRASH_TTL_MS
 from mastickeel_router.quarantine.reports import TRIAL_DELAYS_MS
 from mastickeel_router.relay.crashes import MAX_BEGIN_MS
 
--- a/tests/mastickeel_router/quarantine/test_quarantine.py
+++ b/tests/mastickeel_router/quarantine/test_quarantine.py
@@ -12,9 +12,9 @@
 from mastickeel.httpmessages import ConnectionFailedError
 from mastickeel.model import Endpoint
 from mastickeel.rendezvous import rank
-from mastickeel_router.quarantine import Quarantine, QuarantinedError
 from mastickeel_router.quarantine import guard as guard_module
 from mastickeel_router.quarantine.fingerprints import compute_fingerprint
+from mastickeel_router.quarantine.guard import Quarantine, QuarantinedError
 from mastickeel_router.quarantine.replica import (
     CRASH_TTL_MS,
     PERMIT_TTL_MS,
