Count the time of a second reply in the age of the first

An outage that a watcher names is confirmed by another one before its changes are applied; the knowledge was dated by the first reply, up to 0.3 s too young. By reading; no run showed it.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -330,14 +330,14 @@
         """
         begin_ms = self._clock.now()
         reply = await self._fetch(peer)
-        now = self._clock.now()
         if reply is not None:
             self._observe_era(reply.era)
         if reply is None or reply.age_ms is None:
-            self._suspected_until_ms[peer] = now + SUSPICION_MS
+            self._suspected_until_ms[peer] = self._clock.now() + SUSPICION_MS
             return False
         if reply.outage_age_ms is not None and reply.removals:
             await self._confirm_outage(peer, reply.outage_age_ms)
+        now = self._clock.now()
         age_ms = reply.age_ms + now - begin_ms
         revision = self._view.revision
         self._view.apply_peer_changes(peer, _read_changes(reply), age_ms)
