Do not count a first call that is lost after a pause as an outage of the store

An instance that begins to watch probes the store with a timeout of 0.4 s; if the probe was lost, also because the instance itself was busy, it kept endpoints that had gone for 2.5 s more.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -158,6 +158,7 @@
         self._is_watching = False
         self._reading: asyncio.Task[None] | None = None
         self._is_reopening = False
+        self._is_resuming = False
         self._resumed = asyncio.Event()
         self._resumed.set()
         # The keys are listed again in a new era.
@@ -190,6 +191,7 @@
         if self.revision is not None and self._era == self._store.era.number:
             self.revision = max(self.revision, revision)
         self._unanswered_watches = max(1, self._unanswered_watches)
+        self._is_resuming = True
         self._resumed.set()
         self.reopen()
 
@@ -303,7 +305,9 @@
             delay_ms=round(delay_ms),
             error=error.detail,
         )
-        if not self._down:
+        # After a pause a lost call may be due to the connection or to this instance alone.
+        is_first_call, self._is_resuming = self._is_resuming, False
+        if not self._down and not is_first_call:
             self._down = True
             log(STORE_DOWN, prefix=self._prefix, revision=self.revision, error=str(error))
             self._handler.on_outage()
@@ -311,6 +315,7 @@
 
     def _record_answer(self) -> None:
         self._backoff.reset()
+        self._is_resuming = False
         if self._down:
             self._down = False
             log(STORE_UP, prefix=self._prefix, revision=self.revision)
--- a/tests/mastickeel_router/storeview/test_watchers.py
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -150,6 +150,16 @@
         await fleet.clock.advance(3 * APPLY_MS)
         self.assertEqual(len(fleet.list_watchers()), 3)
 
+    async def test_first_call_that_is_lost_after_a_pause_counts_as_an_outage(self) -> None:
+        fleet = await self.start_fleet([1, 1, 1, 3])
+        instance = next(one for one in fleet.instances if not one.is_watching)
+        instance.store.access.silent = True
+        instance.knowledge._follower.resume(0)
+        await fleet.clock.advance(450)
+        instance.store.access.silent = False
+        await fleet.clock.advance(APPLY_MS)
+        self.assertEqual(instance.outages, 0)
+
     async def test_instance_without_any_peer_watches_for_itself(self) -> None:
         fleet = await self.start_fleet([4, 4, 4])
         lone = fleet.instances[-1]
