Let a resumed watch be unanswered as long as a usual one before it counts as an outage

Calls that are not answered count as an outage 2.25 s after the pause, as with a usual watch; one that is refused counts at once.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -158,7 +158,7 @@
         self._is_watching = False
         self._reading: asyncio.Task[None] | None = None
         self._is_reopening = False
-        self._is_resuming = False
+        self._resumed_ms: int | None = None
         self._resumed = asyncio.Event()
         self._resumed.set()
         # The keys are listed again in a new era.
@@ -191,7 +191,7 @@
         if self.revision is not None and self._era == self._store.era.number:
             self.revision = max(self.revision, revision)
         self._unanswered_watches = max(1, self._unanswered_watches)
-        self._is_resuming = True
+        self._resumed_ms = self._clock.now()
         self._resumed.set()
         self.reopen()
 
@@ -305,17 +305,25 @@
             delay_ms=round(delay_ms),
             error=error.detail,
         )
-        # After a pause a lost call may be due to the connection or to this instance alone.
-        is_first_call, self._is_resuming = self._is_resuming, False
-        if not self._down and not is_first_call:
+        if not self._down and not self._may_be_slow(duration_ms):
             self._down = True
             log(STORE_DOWN, prefix=self._prefix, revision=self.revision, error=str(error))
             self._handler.on_outage()
         await self._clock.sleep(delay_ms)
 
+    def _may_be_slow(self, duration_ms: int) -> bool:
+        """Returns whether calls that were not answered since a pause do not show an outage yet.
+
+        Their timeouts are short, and the silence may be due to this instance. A call that failed
+        at once was refused.
+        """
+        if self._resumed_ms is None or duration_ms < REOPEN_AFTER_MS:
+            return False
+        return self._clock.now() - self._resumed_ms < LATE_MS
+
     def _record_answer(self) -> None:
         self._backoff.reset()
-        self._is_resuming = False
+        self._resumed_ms = None
         if self._down:
             self._down = False
             log(STORE_UP, prefix=self._prefix, revision=self.revision)
