--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -48,8 +48,8 @@
 REPLY_TIMEOUT_MS = 300
 LATE_CHECK_INTERVAL_MS = 250
 """Interval at which an instance that watches looks whether its watch is late."""
-PAUSE_MS = 400
-"""Delay of this instance's own work from which on it counts as paused: what it reads then may have
+STALL_MS = 400
+"""Delay of this instance's own work from which on it counts as stalled: what it reads then may have
 waited for so long."""
 SUSPICION_MS = 3_000
 """Time for which a peer that did not reply, or does not hear the store, is passed over."""
@@ -199,7 +199,7 @@
         while True:
             self._due_ms = self._clock.now() + interval_ms
             await self._clock.sleep(interval_ms)
-            if self._was_paused:
+            if self._was_stalled:
                 self._view.forget_confirmation()
                 self._follower.reopen()
             self._due_ms = math.inf
@@ -216,9 +216,9 @@
             interval_ms = max(0, begin_ms + interval_ms - self._clock.now())
 
     @property
-    def _was_paused(self) -> bool:
+    def _was_stalled(self) -> bool:
         """Whether this instance has not run for some time, so that answers may wait unread."""
-        return self._clock.now() > self._due_ms + PAUSE_MS
+        return self._clock.now() > self._due_ms + STALL_MS
 
     def request_from_one(self) -> None:
         """Requests changes in the background: from a watcher, or while late from any peer."""
@@ -385,7 +385,7 @@
     async def _answer(self, sender: str, request: ChangesRequest) -> ChangesReply:
         view = self._view
         self._observe_era(request.era)
-        if request.era != view.era or not view.revision or self._was_paused:
+        if request.era != view.era or not view.revision or self._was_stalled:
             return ChangesReply(view.era, 0, None)
         changes = view.changes_since(request.revision)
         items = tuple(
