Keep live peers whose entries the store lost with their leases

Callers of an instance that is cut off from the endpoints were refused although its peers lived: in an outage the store's leases lapse, each instance took the missing entries for ended peers and closed its links and tunnels to all of them, until they could register again. Changes from peers, the second way of learning them, went silent with the first at the same moment. Class: what the store says stands for what the fleet is; both ways silent at once. Without an outage nothing changes.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -38,11 +38,22 @@
 RECENT_MS = 15_000
 """Time for which a removed peer is still counted among the recent ones: above the lease, so that
 all instances forget a peer only after each of them has lost it."""
+OUTAGE_GRACE_MS = 5_000
+"""Time after an outage of the store in which an entry may have gone with its lease: above the
+interval of renewals, in which a live peer finds that and registers again."""
+KEPT_MS = LEASE_TTL_SECONDS * 1_000
+"""Time for which a peer whose entry went with an outage has to register again."""
 
 PEER_FOUND = define_event(2370, "peer_found", "info", "Another instance registered itself.")
 PEER_REMOVED = define_event(
     2371, "peer_gone", "info", "Another instance's entry was removed or is malformed."
 )
+PEER_KEPT = define_event(
+    2376,
+    "peer_kept",
+    "info",
+    "Another instance's entry went with an outage of the store; it may register again for a time.",
+)
 REGISTERED = define_event(2372, "registered", "info", "This instance has an entry in the store.")
 NOT_REGISTERED = define_event(
     2373,
@@ -99,6 +110,9 @@
         self.tunnels_port = 0
         """Port at which this instance opens tunnels to endpoints; 0 for none."""
         self._removed_ms_by_peer: dict[str, int] = {}
+        self._kept_until_ms: dict[str, int] = {}
+        self._is_outage = False
+        self._grace_deadline_ms = clock.now()
         self._host = host
         self._traits = traits
         self._clock = clock
@@ -123,9 +137,10 @@
             try:
                 lease = await self._register()
                 while await self._store.keep_alive(lease) and not await self._wait_for_new_era():
-                    pass
+                    self.remove_expired()
             except StoreError as error:
                 log(NOT_REGISTERED, error=str(error))
+                self.remove_expired()
                 await self._clock.sleep(RETRY_INTERVAL_MS)
 
     async def _wait_for_new_era(self) -> bool:
@@ -145,9 +160,32 @@
     def entry_handler(self) -> WatchHandler:
         """Returns the handler of the entries' keys in the store."""
         return WatchHandler(
-            self._apply_all, self._apply_entry, lambda key, revision: self._remove_entry(key)
+            self._apply_all,
+            self._apply_entry,
+            lambda key, revision: self._remove_entry(key),
+            self._begin_outage,
+            self._end_outage,
         )
 
+    def remove_expired(self) -> None:
+        """Removes the peers that have not registered again in time after an outage."""
+        if self._is_outage:
+            return
+        now = self._clock.now()
+        for peer_id, until_ms in list(self._kept_until_ms.items()):
+            if until_ms < now:
+                self._remove_peer(peer_id)
+
+    def _begin_outage(self) -> None:
+        self._is_outage = True
+
+    def _end_outage(self) -> None:
+        self._is_outage = False
+        now = self._clock.now()
+        self._grace_deadline_ms = now + OUTAGE_GRACE_MS
+        # They could not register while the store did not answer.
+        self._kept_until_ms = dict.fromkeys(self._kept_until_ms, now + KEPT_MS)
+
     async def _register(self) -> int:
         lease = await self._store.grant(LEASE_TTL_SECONDS)
         address = f"{self._host}:{self._link.port}"
@@ -185,6 +223,7 @@
             return
         log(PEER_FOUND, peer=peer_id, address=str(address), revision=item.mod_revision)
         self._removed_ms_by_peer.pop(peer_id, None)
+        self._kept_until_ms.pop(peer_id, None)
         self._link.connect(peer_id, address)
         if entry.data_centre:
             self.traits_by_peer[peer_id] = PeerTraits(
@@ -195,8 +234,20 @@
             self.tunnels_by_peer[peer_id] = tunnels
 
     def _remove_entry(self, key: str) -> None:
+        """Removes a peer, unless its entry may have gone because the store lost the lease."""
         peer_id = key.removeprefix(self.entries_prefix)
+        now = self._clock.now()
+        may_be_live = self._is_outage or now < self._grace_deadline_ms
+        if may_be_live and peer_id in self._link.peer_ids:
+            if peer_id not in self._kept_until_ms:
+                self._kept_until_ms[peer_id] = now + KEPT_MS
+                log(PEER_KEPT, peer=peer_id)
+            return
+        self._remove_peer(peer_id)
+
+    def _remove_peer(self, peer_id: str) -> None:
         log(PEER_REMOVED, peer=peer_id)
+        self._kept_until_ms.pop(peer_id, None)
         if peer_id in self._link.peer_ids:
             self._removed_ms_by_peer[peer_id] = self._clock.now()
         self.traits_by_peer.pop(peer_id, None)
