--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -603,6 +603,7 @@
                 is_removed,
                 reply.status,
                 request_id,
+                name,
                 self._clock.now(),
             )
         )
@@ -710,7 +711,13 @@
         for endpoint in self._endpoints:
             found += check_limits(endpoint, self._instances)
             found += check_statements(endpoint, self._instances)
-        late = find_late_probes(self._probes, self._instances, self._store_faults_ms)
+        versions_by_id = {
+            request_id: int(record.get("version") or 0)
+            for request_id, record in self._refusals_by_id.items()
+        }
+        late = find_late_probes(
+            self._probes, self._instances, self._store_faults_ms, self._changes, versions_by_id
+        )
         found += [
             f"{probe} by an older version; {self._refusals_by_id.get(probe.request_id)}; "
             f"changes: {[change for change in self._changes if probe.acked_ms <= change.acked_ms]}"
--- a/tests/mastickeel_platform/soak_checks.py
+++ b/tests/mastickeel_platform/soak_checks.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from tests.mastickeel_platform.standins import RawServer, StoreAccess
 
@@ -177,6 +177,7 @@
     is_removed: bool
     status: int
     request_id: str
+    route: str
     ended_ms: int
 
 
@@ -191,17 +192,39 @@
 
 
 def find_late_probes(
-    probes: Sequence[Probe], instances: Sequence[Instance], store_faults_ms: Sequence[Span]
+    probes: Sequence[Probe],
+    instances: Sequence[Instance],
+    store_faults_ms: Sequence[Span],
+    changes: Sequence[Change],
+    versions_by_id: Mapping[str, int],
 ) -> list[Probe]:
     """Returns the probes that an instance in touch answered by a version replaced in time before.
 
-    An access to the store that fails at some instances alone excuses nothing.
+    An access to the store that fails at some instances alone excuses nothing. A refusal is by a
+    newer version only if the instance's own record of it names one that removed the route again.
+
+    Args:
+        probes: The probes.
+        instances: The instances, with their faults.
+        store_faults_ms: Faults of the store at all instances.
+        changes: The operator's changes of routes.
+        versions_by_id: Version in force at the instance by the id of each refused request.
     """
+
+    def is_by_newer_version(probe: Probe) -> bool:
+        return any(
+            change.is_removed
+            and change.route == probe.route
+            and probe.version < change.version <= versions_by_id.get(probe.request_id, 0)
+            for change in changes
+        )
+
     return [
         probe
         for probe in probes
         if probe.at_ms >= probe.acked_ms + APPLY_MS
         and probe.status == (200 if probe.is_removed else 404)
+        and not (probe.status == 404 and is_by_newer_version(probe))
         and not has_fault(probe.instance, probe.at_ms, instances)
         and not any(
             begin_ms <= probe.at_ms and end_ms + CONTACT_MS >= probe.acked_ms
