Count only clients that still wait half a second after the timeout in case 1

Cause: a client that gave up within that half second was counted as unanswered after it. Change: the client notes when it gave up, and the check leaves such streams out.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -147,7 +147,9 @@
             gateway.ip, gateway.frontend, data, deadline_s=DEADLINE_MS / 1_000, gap_s=GAP_S
         )
         answers[request_id] = answer
-        end = "never" if answer.ended_s is None else f"after {answer.ended_s:.3f} s"
+        end = f"after {answer.ended_s:.3f} s" if answer.ended_s else "never"
+        if answer.gave_up_s:
+            end += f", client gave up after {answer.gave_up_s:.3f} s"
         if not answer.complete or answer.status != 200:
             pieces = answer.body.count(b"\n\n")
             case.note(
@@ -161,8 +163,13 @@
         await asyncio.sleep(1 / STREAMS_PER_S)
     await asyncio.gather(*tasks, crashing)
     limit_s = TIMEOUT_MS / 1_000
-    unanswered = [a for a in answers.values() if a.ended_s is None or a.ended_s > limit_s]
-    late = [a for a in unanswered if a.ended_s is None or a.ended_s > limit_s + 0.5]
+    ends_s = [
+        answer.gave_up_s if answer.ended_s is None else answer.ended_s
+        for answer in answers.values()
+    ]
+    unanswered = [end_s for end_s in ends_s if end_s is None or end_s > limit_s]
+    # Clients that gave up within that half second don't count as unanswered after it.
+    late = [end_s for end_s in unanswered if end_s is None or end_s > limit_s + 0.5]
     whole = sum(a.complete and a.status == 200 for a in answers.values())
     case.note(
         f"{len(answers)} streams, {whole} whole; {len(unanswered)} unanswered at the route's "
--- a/review/client.py
+++ b/review/client.py
@@ -22,6 +22,8 @@
     """Whether the answer has ended as its framing says."""
     ended_s: float | None = None
     """Seconds from the request to its answer's end or the channel's close; None if neither came."""
+    gave_up_s: float | None = None
+    """Seconds from the request until the client gave up; None if it did not."""
 
 
 def write_request(
@@ -64,7 +66,7 @@
         await asyncio.wait_for(_read(reader, answer, gap_s), deadline_s)
         answer.ended_s = time.monotonic() - began
     except asyncio.TimeoutError:
-        pass
+        answer.gave_up_s = time.monotonic() - began
     except (ConnectionError, asyncio.IncompleteReadError):
         answer.ended_s = time.monotonic() - began
     finally:
