Show what the crashes of case 3 cost other callers

Cause: the record did not tell what is lost beside the request that crashes workers. Change: sound filings run beside it in cases 3 and 4; no check rests on them.

--- a/review/crashing.py
+++ b/review/crashing.py
@@ -9,9 +9,13 @@
 import time
 
 from review.case import Case
+from review.client import send, write_request
+from review.gateway import GatewayProcess
 from review.http import read_request, write_answer
 
 WORKER_DOWN_S = 2.5
+FILING_WORK_S = 0.4
+FILINGS_PER_S = 30
 
 
 class CrashingWorker:
@@ -48,7 +52,7 @@
                 if request.target.startswith("/look/crash"):
                     self.crash(request.id)
                     return
-                await asyncio.sleep(0.03)
+                await asyncio.sleep(FILING_WORK_S)
                 writer.write(write_answer(request, 200, b"done"))
         except ConnectionError:
             pass
@@ -77,3 +81,63 @@
     """Returns the runs that began later than `contact_s` after the third crash of a worker."""
     crashes = sorted(crash for worker in workers for crash in worker.crashes)
     return [one for one in crashes[3:] if one[0] > crashes[2][0] + contact_s]
+
+
+async def file_orders(case: Case, gateways: list[GatewayProcess]) -> None:
+    """Sends sound requests that may run once, until cancelled; notes how many were lost.
+
+    They only show what the crashes cost others; no check rests on them.
+    """
+    sent = lost = 0
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def ask(number: int) -> None:
+        nonlocal lost
+        gateway = gateways[number % len(gateways)]
+        data = write_request(
+            "POST",
+            "desk.example",
+            f"/file/{number}",
+            f"f{number:05d}",
+            deadline_ms=1_500,
+            body=b"order %d" % number,
+        )
+        answer = await send(gateway.ip, gateway.frontend, data, deadline_s=1.5)
+        lost += answer.status in (0, 502, 504)
+
+    try:
+        while True:
+            task = asyncio.ensure_future(ask(sent))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            sent += 1
+            await asyncio.sleep(1 / FILINGS_PER_S)
+    finally:
+        case.note(f"of {sent} sound filings, {lost} were lost with the worker that ran them")
+
+
+ROUTES = [
+    {
+        "name": "look",
+        "host": "desk.example",
+        "path_prefix": "/look/",
+        "route_type": "safe",
+        "timeout_ms": 800,
+        "slo_ms": 150,
+        "priority": 1,
+        "service": "register",
+        "max_attempts": 2,
+    },
+    {
+        "name": "file",
+        "host": "desk.example",
+        "path_prefix": "/file/",
+        "route_type": "unsafe",
+        "timeout_ms": 1_200,
+        "slo_ms": 600,
+        "priority": 1,
+        "service": "register",
+        "max_attempts": 1,
+    },
+]
+"""Lookups, one of which crashes workers, and filings, which may run once."""
