Ignore a value that is nested too deeply instead of ending the task that follows the store

Cause: msgspec raises RecursionError for deep nesting, also in fields that it skips. No reader caught it; the error ended the task that follows the store, which lists all keys again after a second and fails at the same one (task_failed, RecursionError, once a second in the gateways' logs). The same call stood in 25 places.

A registration of the product's own members that cannot be decoded is ignored and logged.

--- a/packages/mastickeel/src/mastickeel/_etcdjson.py
+++ b/packages/mastickeel/src/mastickeel/_etcdjson.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mastickeel._kvtypes import Compare, Delete, Get, KeyValue, Put, WatchBatch
+from mastickeel.decoding import decode_json
 from mastickeel.errors import (
     StoreCompactedError,
     StoreOutcomeUnknownError,
@@ -26,7 +27,7 @@
 def decode_answer(path: str, status: int, body: bytes) -> dict[str, Any]:
     """Decodes an answer, raising a typed error for each error of the etcd gateway."""
     try:
-        answer: dict[str, Any] = msgspec.json.decode(body)
+        answer: dict[str, Any] = decode_json(body)
     except msgspec.DecodeError as error:
         raise StoreOutcomeUnknownError(
             f"{path} sent an answer that is not JSON (status {status})."
--- a/packages/mastickeel/src/mastickeel/changes.py
+++ b/packages/mastickeel/src/mastickeel/changes.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.model import Delta  # noqa: TC001 - msgspec reads it at run time
 
 REVISION_DIGITS = 12
@@ -174,4 +175,4 @@
     Raises:
         msgspec.ValidationError: When the data does not match the record type.
     """
-    return msgspec.json.decode(data, type=record_type)
+    return decode_json(data, record_type)
--- a/packages/mastickeel/src/mastickeel/keyvalue.py
+++ b/packages/mastickeel/src/mastickeel/keyvalue.py
@@ -30,6 +30,7 @@
     TxnResult,
     WatchBatch,
 )
+from mastickeel.decoding import decode_json
 from mastickeel.errors import (
     StoreBudgetError,
     StoreOutcomeUnknownError,
@@ -262,7 +263,7 @@
             for line in filter(bytes.strip, lines):
                 if queue.qsize() >= MAX_BUFFERED_WATCH_MESSAGES:
                     raise StoreUnavailableError("The reader of a watch is too far behind.")
-                queue.put_nowait(msgspec.json.decode(line))
+                queue.put_nowait(decode_json(line))
 
         timeouts = replace(self._timeouts, between_bytes_ms=WATCH_SILENCE_TIMEOUT_MS)
         connection = await self._client.connect(
--- a/packages/mastickeel/src/mastickeel/peermessages.py
+++ b/packages/mastickeel/src/mastickeel/peermessages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_msgpack
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -48,4 +50,4 @@
         msgspec.DecodeError: The fields do not fit the message type.
     """
     message_type = types_by_kind.get(kind)
-    return None if message_type is None else msgspec.msgpack.decode(body, type=message_type)
+    return None if message_type is None else decode_msgpack(body, message_type)
--- a/packages/mastickeel/src/mastickeel/peers.py
+++ b/packages/mastickeel/src/mastickeel/peers.py
@@ -18,6 +18,7 @@
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from mastickeel.curve import AcceptedKeys, new_secret
+from mastickeel.decoding import decode_msgpack
 from mastickeel.errors import ExecutionStatus, MastickeelError
 from mastickeel.events import define_event
 from mastickeel.logs import log
@@ -386,7 +387,7 @@
     def _dispatch(self, socket: zmq.asyncio.Socket, route: bytes | None, data: bytes) -> None:
         """Passes a received message to the request that awaits it or to its handler."""
         try:
-            envelope = msgspec.msgpack.decode(data, type=Envelope)
+            envelope = decode_msgpack(data, Envelope)
             if envelope.kind not in types_by_kind or envelope.version != PROTOCOL_VERSION:
                 self._metrics.count("peers.skipped")
                 log(PEER_MESSAGE_SKIPPED, sender=envelope.sender, kind=envelope.kind)
--- a/packages/mastickeel_ctl/src/mastickeel_ctl/client.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/client.py
@@ -9,6 +9,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import MastickeelError
 
 REQUEST_TIMEOUT_S = 30.0
@@ -76,7 +77,7 @@
         except HTTPClientError as error:
             raise _api_error(error) from error
         try:
-            decoded: dict[str, Any] = msgspec.json.decode(answer.body, type=dict)
+            decoded: dict[str, Any] = decode_json(answer.body, dict)
         except msgspec.DecodeError as error:
             raise UnreachableError(f"{self._url} sent an incomplete answer: {error}.") from error
         return decoded
@@ -85,7 +86,7 @@
 def _api_error(error: HTTPClientError) -> ApiError:
     """Returns the error for an HTTP error answer, with the details of its problem+json body."""
     try:
-        problem = msgspec.json.decode(error.response.body if error.response else b"{}")
+        problem = decode_json(error.response.body if error.response else b"{}")
     except msgspec.DecodeError:
         problem = {}
     if not isinstance(problem, dict):
--- a/packages/mastickeel_ctl/src/mastickeel_ctl/loglines.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/loglines.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -63,7 +65,7 @@
     if start < 0 or len(text) > MAX_LINE_LENGTH:
         return None
     try:
-        record = msgspec.json.decode(text[start:])
+        record = decode_json(text[start:])
     except (msgspec.DecodeError, UnicodeError):
         return None
     return record if isinstance(record, dict) and "event" in record else None
--- a/packages/mastickeel_router/src/mastickeel_router/admission/coordinator.py
+++ b/packages/mastickeel_router/src/mastickeel_router/admission/coordinator.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import (
     MastickeelError,
     StoreOutcomeUnknownError,
@@ -258,9 +259,7 @@
     def _cache_value(self, cached: CachedRecord, found: KeyValue | None) -> None:
         """Caches the record found in the store, or an empty record if the key is missing."""
         cached.revision = found.mod_revision if found else 0
-        cached.record = (
-            msgspec.json.decode(found.value, type=CeilingRecord) if found else CeilingRecord()
-        )
+        cached.record = decode_json(found.value, CeilingRecord) if found else CeilingRecord()
 
     def _cached_record(self, key: str) -> CachedRecord:
         """Returns the cache entry of a key; evicts the oldest entry beyond RECORDS_KEPT."""
--- a/packages/mastickeel_router/src/mastickeel_router/billing/journal.py
+++ b/packages/mastickeel_router/src/mastickeel_router/billing/journal.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_msgpack
 from mastickeel_router.requests import Bill
 
 if TYPE_CHECKING:
@@ -28,7 +29,7 @@
 
     def decode_bill(self) -> Bill:
         """Decodes and returns the bill."""
-        return msgspec.msgpack.decode(self.data, type=Bill)
+        return decode_msgpack(self.data, Bill)
 
     @property
     def size_bytes(self) -> int:
--- a/packages/mastickeel_router/src/mastickeel_router/billing/segments.py
+++ b/packages/mastickeel_router/src/mastickeel_router/billing/segments.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_msgpack
 from mastickeel.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from mastickeel.keyvalue import Compare, Get, Put
 from mastickeel_router.billing.journal import JournalEntry  # noqa: TC001 (msgspec reads it)
@@ -105,7 +106,7 @@
             for item in page.items:
                 if item.key >= end:
                     return
-                yield msgspec.msgpack.decode(zlib.decompress(item.value), type=Segment)
+                yield decode_msgpack(zlib.decompress(item.value), Segment)
             if not page.more:
                 return
             start = page.items[-1].key + "\0"
--- a/packages/mastickeel_router/src/mastickeel_router/choice/ratings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/choice/ratings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import MastickeelError
 from mastickeel.events import define_event
 from mastickeel.httpmessages import HttpRequest, Timeouts
@@ -256,7 +257,7 @@
         RatingUnavailableError: When the page as a whole is malformed.
     """
     try:
-        page = msgspec.json.decode(data)
+        page = decode_json(data)
         cursor, ratings = page["cursor"], page["ratings"]
     except (msgspec.DecodeError, TypeError, KeyError) as error:
         raise RatingUnavailableError("The page of ratings is malformed.") from error
@@ -278,7 +279,7 @@
 def _decode_judgement(answer: HttpAnswer) -> _Judgement | None:
     """Decodes a judgement; None when it is malformed."""
     try:
-        judgement = msgspec.json.decode(answer.body)
+        judgement = decode_json(answer.body)
     except msgspec.DecodeError:
         return None
     if not isinstance(judgement, dict) or type(judgement.get("pass")) is not bool:
--- a/packages/mastickeel_router/src/mastickeel_router/configuration/parts.py
+++ b/packages/mastickeel_router/src/mastickeel_router/configuration/parts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.model import COLLECTION_NAMES, Configuration, Delta
 
 if TYPE_CHECKING:
@@ -54,7 +55,7 @@
     """
     configuration = Configuration()
     for part in parts:
-        configuration = configuration.apply(msgspec.json.decode(part, type=Delta), revision)
+        configuration = configuration.apply(decode_json(part, Delta), revision)
     return configuration if configuration.revision else Configuration(revision)
 
 
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/_intent_store.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/_intent_store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
 from mastickeel.keyvalue import Compare, Delete, Get, Put
 from mastickeel_router.dispatch.intent import Intent
@@ -211,4 +212,4 @@
 
 def _decode(value: bytes) -> Intent:
     """Decodes a stored intent."""
-    return msgspec.json.decode(value, type=Intent)
+    return decode_json(value, Intent)
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/prefixes.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/prefixes.py
@@ -14,6 +14,8 @@
 import msgspec
 import xxhash
 
+from mastickeel.decoding import decode_msgpack
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -106,7 +108,7 @@
         Returns:
             False when earlier batches are missing; the batch was not applied then.
         """
-        at_seconds, events = msgspec.msgpack.decode(payload)
+        at_seconds, events = decode_msgpack(payload)
         if sequence < self.next_sequence:
             if at_seconds <= self._last_event_seconds:
                 return True
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/broadcast.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_msgpack
 from mastickeel.events import define_event
 from mastickeel.logs import log
 from mastickeel.peermessages import decode_content, encode_content, message
@@ -112,7 +113,7 @@
             raise ValueError(str(error)) from error
         if inflater.unconsumed_tail:
             raise ValueError(f"the batch has more than {MAX_BATCH_BYTES} bytes")
-        return msgspec.msgpack.decode(data, type=tuple[Notice, ...])
+        return decode_msgpack(data, tuple[Notice, ...])
 
 
 @dataclass(frozen=True)
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from mastickeel.addresses import Address
+from mastickeel.decoding import decode_json
 from mastickeel.errors import StoreError
 from mastickeel.events import define_event
 from mastickeel.keyvalue import Put
@@ -262,5 +263,5 @@
         ValueError: The entry cannot be decoded.
     """
     if value.startswith(b"{"):
-        return msgspec.json.decode(value, type=_Entry)
+        return decode_json(value, _Entry)
     return _Entry(value.decode())
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import StoreError
 from mastickeel.events import define_event
 from mastickeel.keyvalue import Compare, Put
@@ -141,7 +142,7 @@
         """Applies what another instance has kept in this era."""
         self._kept_revision = item.mod_revision
         try:
-            kept = msgspec.json.decode(item.value, type=KeptWrites)
+            kept = decode_json(item.value, KeptWrites)
         except msgspec.MsgspecError as error:
             log(LOST_WRITES_UNREADABLE, key=item.key, error=str(error))
             return
--- a/packages/mastickeel_router/src/mastickeel_router/membership/members.py
+++ b/packages/mastickeel_router/src/mastickeel_router/membership/members.py
@@ -10,10 +10,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from mastickeel.addresses import Address
 from mastickeel.changes import Roster, RosterMember
+from mastickeel.decoding import decode_json
 from mastickeel.errors import StoreError
 from mastickeel.events import define_event
 from mastickeel.logs import log
@@ -34,6 +33,7 @@
     import random
     from collections.abc import Callable, Iterator
 
+    from mastickeel._kvtypes import KeyValue
     from mastickeel.clock import Clock
     from mastickeel.keyvalue import KeyValueClient
     from mastickeel.peers import PeerLink
@@ -47,6 +47,11 @@
     "warning",
     "An instance left, both its lease and its probes failed, or the platform lists it no longer.",
 )
+MEMBER_UNREADABLE = define_event(
+    1814, "member_unreadable", "warning", "An instance's registration is malformed and is ignored."
+)
+MAX_LOGGED_ERROR = 300
+"""Maximum length of an error's text in a log record, as it may quote the value."""
 
 
 def is_gone_on_two_paths(leased: bool, reachable: bool) -> bool:
@@ -203,14 +208,14 @@
         while True:
             try:
                 found = await self._store.range(self._prefix, prefix=True)
-                members = [_decode(item.value) for item in found.items]
-                self._leased_by_id = {member.id: member for member in members}
+                members = [_decode(item) for item in found.items]
+                self._leased_by_id = {member.id: member for member in members if member}
                 self._refresh()
                 backoff.reset()
                 async for batch in self._store.watch(self._prefix, found.revision + 1):
                     for item in batch.puts:
-                        member = _decode(item.value)
-                        self._leased_by_id[member.id] = member
+                        if member := _decode(item):
+                            self._leased_by_id[member.id] = member
                     for key in batch.deletes:
                         self._leased_by_id.pop(key.removeprefix(self._prefix), None)
                     if batch.puts or batch.deletes:
@@ -350,5 +355,12 @@
     )
 
 
-def _decode(data: bytes) -> Member:
-    return msgspec.json.decode(data, type=Member)
+def _decode(item: KeyValue) -> Member | None:
+    """Returns a registered member; None if its entry cannot be decoded or has no usable address."""
+    try:
+        member: Member = decode_json(item.value, Member)
+        Address.parse(member.address)
+    except ValueError as error:
+        log(MEMBER_UNREADABLE, key=item.key, error=str(error)[:MAX_LOGGED_ERROR])
+        return None
+    return member
--- a/packages/mastickeel_router/src/mastickeel_router/membership/platform_list.py
+++ b/packages/mastickeel_router/src/mastickeel_router/membership/platform_list.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import MastickeelError
 from mastickeel.httpmessages import HttpRequest, Timeouts
 from mastickeel_router.backoff import Backoff
@@ -103,7 +104,7 @@
         )
         if response.status != 200:
             raise MastickeelError(f"The platform's list returned status {response.status}.")
-        listing = msgspec.json.decode(response.body, type=InstanceList)
+        listing = decode_json(response.body, InstanceList)
         before = self._entries_by_id or {}
         self._entries_by_id = {entry.id: entry for entry in listing.instances}
         for entry in listing.instances:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import StoreError
 from mastickeel.events import define_event
 from mastickeel.keyvalue import Put
@@ -412,7 +413,7 @@
 
     def _apply_plan(self, item: KeyValue) -> None:
         try:
-            plan = msgspec.json.decode(item.value, type=ReleasePlan)
+            plan = decode_json(item.value, ReleasePlan)
         except msgspec.MsgspecError as error:
             log(PLAN_UNREADABLE, key=item.key, error=str(error))
             return
--- a/packages/mastickeel_router/src/mastickeel_router/rollouts/orders.py
+++ b/packages/mastickeel_router/src/mastickeel_router/rollouts/orders.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from mastickeel.addresses import Address
+from mastickeel.decoding import decode_json
 from mastickeel.errors import MastickeelError
 from mastickeel.events import define_event
 from mastickeel.httpmessages import HttpRequest, Timeouts
@@ -249,7 +250,7 @@
         if answer.status != 200:
             raise MastickeelError(f"{path} answered {answer.status}.")
         try:
-            decoded: dict[str, Any] = msgspec.json.decode(answer.body, type=dict)
+            decoded: dict[str, Any] = decode_json(answer.body, dict)
         except msgspec.MsgspecError as error:
             raise MastickeelError(f"{path} answered with an invalid JSON object.") from error
         return decoded
--- a/packages/mastickeel_router/src/mastickeel_router/sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -5,8 +5,7 @@
 import re
 from typing import Any
 
-import msgspec
-
+from mastickeel.decoding import decode_json
 from mastickeel.httpmessages import AnswerTooLargeError
 
 ID_FIELD = b"id:"
@@ -101,5 +100,5 @@
     Raises:
         msgspec.DecodeError: When the data is not JSON.
     """
-    decoded: dict[str, Any] = msgspec.json.decode(event_data(event))
+    decoded: dict[str, Any] = decode_json(event_data(event))
     return decoded
--- a/packages/mastickeel_router/src/mastickeel_router/web.py
+++ b/packages/mastickeel_router/src/mastickeel_router/web.py
@@ -9,6 +9,7 @@
 import msgspec
 from tornado.web import HTTPError, RequestHandler, stream_request_body
 
+from mastickeel.decoding import decode_json
 from mastickeel.errors import (
     BadRequestError,
     BodyTooLargeError,
@@ -99,7 +100,7 @@
             BadRequestError: When the body is not a JSON object.
         """
         try:
-            decoded = msgspec.json.decode(self.body)
+            decoded = decode_json(self.body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise BadRequestError(f"The body is not JSON: {error}.") from error
         if not isinstance(decoded, dict):
