Take no endpoint from an entry whose address, id or numbers cannot be used

Port 0, multicast hosts, host names (whose lookup blocks the process), ports in Arabic digits and numbers over 64 bits were taken too, and a release order of 1e308 s ended the task that follows the store with an OverflowError.

Cause: fields were checked for their type, not for what is done with them.

--- a/packages/mastickeel/src/mastickeel/decoding.py
+++ b/packages/mastickeel/src/mastickeel/decoding.py
@@ -11,6 +11,11 @@
 
 T = TypeVar("T")
 
+MAX_WHOLE_NUMBER = 2**53 - 1
+"""Largest whole number that every reader of JSON represents exactly."""
+MAX_DIGITS = 18
+"""Maximum number of digits of a whole number in a header or an event; fits in 64 bits."""
+
 
 @overload
 def decode_json(data: bytes | str, expected_type: type[T]) -> T: ...
@@ -54,6 +59,18 @@
     return _decode(msgspec.msgpack.decode, data, expected_type)
 
 
+def parse_whole_number(text: str | bytes) -> int | None:
+    """Parses a whole number from 0 in decimal digits; returns None for anything else."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
+
+
+def is_over(text: str, limit: int) -> bool:
+    """Returns whether a text of digits is a number above a limit, or too long for a number."""
+    number = parse_whole_number(text)
+    return number is None or number > limit
+
+
 def _decode(decode: Callable[..., Any], data: Any, expected_type: Any) -> Any:
     try:
         return decode(data, type=expected_type)
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -217,8 +217,8 @@
             return
         try:
             entry = _parse_entry(item.value)
-            address = Address.parse(entry.address)
-            tunnels = Address.parse(entry.tunnels) if entry.tunnels else None
+            address = Address.parse_remote(entry.address)
+            tunnels = Address.parse_remote(entry.tunnels) if entry.tunnels else None
         except ValueError as error:
             log(PEER_REMOVED, peer=peer_id, error=str(error))
             return
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -87,6 +87,8 @@
 """Time without open requests after which a drain ends; the last accepted connection may still bring
 its first request."""
 
+MAX_LOGGED_ERROR = 300
+"""Maximum length of an error's text in a log record."""
 MAX_QUEUED_BATCHES = 32
 """Batches of notices queued for an instance that does not read: those of three seconds."""
 
@@ -576,7 +578,7 @@
             elif isinstance(value, ReleaseOrder):
                 is_in_force = self.releases.apply_order(value, is_kept=is_kept)
         except MastickeelError as error:
-            log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=error.detail)
+            _log_ignored(item, error)
             return
         if is_in_force:
             self._lost_writes.record_value(item)
@@ -600,14 +602,14 @@
                 try:
                     records.append(deployment.read_entry(item.key, item.value))
                 except MastickeelError as error:
-                    log(VALUE_IGNORED, key=item.key, revision=revision, error=error.detail)
+                    _log_ignored(item, error)
             registry.replace(records, revision)
 
         def on_put(item: KeyValue) -> None:
             try:
                 registry.put(deployment.read_entry(item.key, item.value), item.mod_revision)
             except MastickeelError as error:
-                log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=error.detail)
+                _log_ignored(item, error)
                 registry.remove(deployment.parse_entry_key(item.key), item.mod_revision)
 
         def on_delete(key: str, revision: int) -> None:
@@ -621,3 +623,9 @@
             registry.end_outage,
             registry.begin_era,
         )
+
+
+def _log_ignored(item: KeyValue, error: MastickeelError) -> None:
+    """Logs a value that was ignored; the error may quote a part of it."""
+    detail = error.detail[:MAX_LOGGED_ERROR]
+    log(VALUE_IGNORED, key=item.key, revision=item.mod_revision, error=detail)
