Bound the digits of numbers in headers and event ids

An answer or a stream was lost, and its caller's connection closed without an answer, for one odd number of an endpoint: a Confidence of 5,000 digits or of a superscript digit, or an event id of more than 4,300 digits. int() raises ValueError for them, which is none of the errors of an exchange. A caller's Deadline-Ms of 5,000 digits did the same. It is the class of the odd entry: a value of another process is converted where only its characters were checked.

Change: parse_whole_number reads all of them, with at most 18 digits. A request with both its headers and its body over the limit got two error replies on one connection; it gets the first now.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/listener.py
@@ -21,6 +21,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
+from mastickeel.decoding import is_over
 from mastickeel.errors import BodyTooLargeError, MastickeelError, UnavailableError
 from mastickeel.events import define_event
 from mastickeel.httpclient import configure_socket
@@ -258,10 +259,10 @@
         self._head = RequestHead(start_line.method, start_line.path, headers)
         limits = self._listener._limits()
         size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+        length = headers.get("Content-Length", "0")
         if size > limits.header_bytes:
             self._refuse(HeadersTooLargeError(f"At most {limits.header_bytes} bytes."))
-        length = headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > limits.body_bytes:
+        elif length.isdigit() and is_over(length, limits.body_bytes):
             self._refuse(BodyTooLargeError(f"At most {limits.body_bytes} bytes."))
 
     def data_received(self, chunk: bytes) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from mastickeel.decoding import decode_json
+from mastickeel.decoding import decode_json, parse_whole_number
 from mastickeel.httpmessages import AnswerTooLargeError
 
 ID_FIELD = b"id:"
@@ -89,8 +89,7 @@
     """Returns the number in an event's ``id`` field; None if the event has no such number."""
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
-            digits = line[len(ID_FIELD) :].strip()
-            return int(digits) if digits.isdigit() else None
+            return parse_whole_number(line[len(ID_FIELD) :].strip())
     return None
 
 
--- a/packages/mastickeel_router/src/mastickeel_router/web.py
+++ b/packages/mastickeel_router/src/mastickeel_router/web.py
@@ -9,7 +9,7 @@
 import msgspec
 from tornado.web import HTTPError, RequestHandler, stream_request_body
 
-from mastickeel.decoding import decode_json
+from mastickeel.decoding import decode_json, is_over
 from mastickeel.errors import (
     BadRequestError,
     BodyTooLargeError,
@@ -72,7 +72,7 @@
             self.body_limit_bytes * BODY_DRAIN_FACTOR
         )
         length = self.request.headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self.body_limit_bytes:
+        if length.isdigit() and is_over(length, self.body_limit_bytes):
             self._raise_body_too_large()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/tests/mastickeel_platform/test_bad_input.py
+++ b/tests/mastickeel_platform/test_bad_input.py
@@ -83,6 +83,10 @@
             request_bytes("/once/a", body=b"x" * 20_001), 413, "body_too_large"
         )
 
+    async def test_body_length_of_too_many_digits(self) -> None:
+        data = request_bytes("/once/a").replace(b"Length: 0", b"Length: " + b"9" * 4_400)
+        await self.assert_refused(data, 431, "headers_too_large")
+
     async def test_chunked_body_over_the_limit(self) -> None:
         head = request_bytes("/once/a").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
         chunks = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
--- a/tests/mastickeel_platform/test_translation.py
+++ b/tests/mastickeel_platform/test_translation.py
@@ -56,6 +56,9 @@
             {"Last_Event_Id": "\u00b2"},
             {"Model": "m", "Token_Count": "1"},
             {"Model": "m", "Prompt_Prefix": "5c"},
+            {"Deadline_Ms": "9" * 5_000},
+            {"Last_Event_Id": "9" * 19},
+            {"Model": "m", "Prompt_Prefix": "5c:" + "9" * 5_000},
         ):
             with self.subTest(fields=fields), self.assertRaises(BadRequestError):
                 read_request(head(**fields))
@@ -102,6 +105,13 @@
         self.assertNotIn("Content-Length", answer.headers)
         self.assertEqual(answer.headers["Server-Seal"], "s")
 
+    def test_confidence_that_is_no_number_ends_the_exchange(self) -> None:
+        """Guards against answers that are lost for an odd number in one of their headers."""
+        for text in ("\u00b2", "9" * 5_000, "1.5", "-1", ""):
+            with self.subTest(text[:5]):
+                answer = read_answer(HttpHead(200, HTTPHeaders({"Confidence": text})))
+                self.assertIsNone(answer.confidence)
+
     def test_rate_limit(self) -> None:
         values = {"1.6": 1.6, "0": 0.0, "20": 20.0}
         malformed = ("", "-1", "nan", "inf", "1e999", "2 a second", "1,2", "\u00b2")
--- a/tests/mastickeel_router/test_sse.py
+++ b/tests/mastickeel_router/test_sse.py
@@ -17,6 +17,13 @@
     return events + splitter.finish(), splitter.pending_bytes
 
 
+class EventSequenceTest(unittest.TestCase):
+    def test_number_that_is_too_long_ends_the_exchange(self) -> None:
+        """Guards against streams that are lost for an odd id of one event."""
+        for digits in (b"9" * 5_000, b"\xc2\xb2", b"-1", b""):
+            self.assertIsNone(event_sequence(b"id: " + digits + b"\n\n"))
+
+
 class EventSplitterTest(unittest.TestCase):
     def test_events_do_not_depend_on_chunks_or_line_ends(self) -> None:
         rng = random.Random(29)
