Date the end of an outage of the store by when it was, not by when it is heard of

Cause: a follower that hears of a removal from a watcher asks a second one whether the store was out, and records an outage of the last 5 s as one that ends now. Entries that go in the 2.5 s after an outage are kept, as they may have expired in it, so the removed endpoint was kept for 2.5 s from then. The message carried the age of the outage; the callback did not. The same holds for the directory of instances.

On related paths: a single watch that the store cuts, which it may do without an outage, counted as one. An outage of a single failed call that did not time out is uncertain now, and entries that go after it are kept for 1.7 s instead of 2.5.

Change: on_recovery has the time of the end and whether it is certain; both travel between instances.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -49,6 +49,16 @@
 )
 
 
+@dataclass(frozen=True)
+class OutageEnd:
+    """End of an outage of the store."""
+
+    at_ms: int
+    """Clock time at which the store answered again."""
+    is_certain: bool = True
+    """Whether more than one call failed: the store may cut a single watch without an outage."""
+
+
 @dataclass(frozen=True)
 class WatchHandler:
     """Callbacks for the keys of a prefix and their changes."""
@@ -61,8 +71,8 @@
     """Called with a key and the revision of its deletion."""
     on_outage: Callable[[], None] = lambda: None
     """Called when the store stops answering."""
-    on_recovery: Callable[[], None] = lambda: None
-    """Called when the store answers again."""
+    on_recovery: Callable[[OutageEnd], None] = lambda end: None
+    """Called when the store answers again, or has answered others since the time given."""
     on_new_era: Callable[[], None] = lambda: None
     """Called before a list that may be older than what was read before, as the store has come back
     from an older copy."""
@@ -100,9 +110,9 @@
         for handler in handlers_by_prefix.values():
             handler.on_outage()
 
-    def on_recovery() -> None:
+    def on_recovery(end: OutageEnd) -> None:
         for handler in handlers_by_prefix.values():
-            handler.on_recovery()
+            handler.on_recovery(end)
 
     def on_new_era() -> None:
         for handler in handlers_by_prefix.values():
@@ -151,6 +161,7 @@
         self._handler = handler
         self._clock = clock
         self._down = False
+        self._was_silent = False
         self._era: int | None = None
         self._call_began_ms = clock.now()
         self._unanswered_watches = 0
@@ -234,9 +245,7 @@
         """Waits while other ways bring the changes; returns at once before the first list."""
         if not self.is_paused or self.revision is None or self._era != self._store.era.number:
             return
-        if self._down:
-            self._down = False
-            self._handler.on_recovery()
+        self._end_outage()
         await self._resumed.wait()
 
     async def _read(self) -> None:
@@ -293,6 +302,7 @@
         The delay counts from the begin of the call, as one that was lost has waited already.
         """
         duration_ms = self._clock.now() - self._call_began_ms
+        self._was_silent |= duration_ms > (LATE_MS if self._is_watching else PROBE_TIMEOUT_MS)
         if self._is_watching:
             self._is_watching = False
             self._unanswered_watches += 1
@@ -322,12 +332,18 @@
         return self._clock.now() - self._resumed_ms < LATE_MS
 
     def _record_answer(self) -> None:
+        if self._down:
+            log(STORE_UP, prefix=self._prefix, revision=self.revision)
+        self._end_outage()
         self._backoff.reset()
         self._resumed_ms = None
+
+    def _end_outage(self) -> None:
         if self._down:
             self._down = False
-            log(STORE_UP, prefix=self._prefix, revision=self.revision)
-            self._handler.on_recovery()
+            is_certain = self._was_silent or self._backoff.failures > 1
+            self._was_silent = False
+            self._handler.on_recovery(OutageEnd(self._clock.now(), is_certain))
 
     def _apply(self, batch: WatchBatch) -> None:
         for item in batch.puts:
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
@@ -14,10 +14,14 @@
 
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
+    from mastickeel_router.discovery.feeds import OutageEnd
 
 OUTAGE_GRACE_MS = 2_500
 """Time after an outage of the store for which entries that expired because of it are kept: the two
 seconds in which live endpoints register again, and the delay of a watch."""
+SUSPECTED_OUTAGE_GRACE_MS = 1_700
+"""Grace time after a single failed call, which may have been no outage: below the two seconds after
+which no request may be sent to an endpoint that has left."""
 
 RECENTLY_ENDED_MS = 60_000
 """Time for which other instances are told of an end: above the age of a copy of the store."""
@@ -140,10 +144,15 @@
         """Records that the store does not answer, so that entries of live endpoints may expire."""
         self._outage = True
 
-    def end_outage(self) -> None:
-        """Records that the store answers again and starts the grace time of expired entries."""
+    def end_outage(self, end: OutageEnd) -> None:
+        """Records that the store answers again; expired entries have a grace time from then on.
+
+        Args:
+            end: End of the outage, which may have become known later.
+        """
         self._outage = False
-        self._grace_deadline_ms = self._clock.now() + OUTAGE_GRACE_MS
+        grace_ms = OUTAGE_GRACE_MS if end.is_certain else SUSPECTED_OUTAGE_GRACE_MS
+        self._grace_deadline_ms = max(self._grace_deadline_ms, end.at_ms + grace_ms)
 
     def begin_era(self) -> None:
         """Records that the next list comes from an older copy of the store.
--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -23,6 +23,7 @@
     from mastickeel.clock import Clock
     from mastickeel.peers import PeerLink
     from mastickeel.storeport import Store
+    from mastickeel_router.discovery.feeds import OutageEnd
 
 LEASE_TTL_SECONDS = 12
 """Lease of an instance's entry: the longest time for which peers send notifications to an ended
@@ -180,12 +181,14 @@
     def _begin_outage(self) -> None:
         self._is_outage = True
 
-    def _end_outage(self) -> None:
+    def _end_outage(self, end: OutageEnd) -> None:
         self._is_outage = False
-        now = self._clock.now()
-        self._grace_deadline_ms = now + OUTAGE_GRACE_MS
+        self._grace_deadline_ms = max(self._grace_deadline_ms, end.at_ms + OUTAGE_GRACE_MS)
         # They could not register while the store did not answer.
-        self._kept_until_ms = dict.fromkeys(self._kept_until_ms, now + KEPT_MS)
+        self._kept_until_ms = {
+            peer_id: max(until_ms, end.at_ms + KEPT_MS)
+            for peer_id, until_ms in self._kept_until_ms.items()
+        }
 
     async def _register(self) -> int:
         lease = await self._store.grant(LEASE_TTL_SECONDS)
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -18,7 +18,7 @@
 from mastickeel.logs import log
 from mastickeel.peermessages import message
 from mastickeel.peers import PeerRefusedError, PeerTimeoutError
-from mastickeel_router.discovery.feeds import LATE_MS
+from mastickeel_router.discovery.feeds import LATE_MS, OutageEnd
 from mastickeel_router.storeview.view import Changes, Removal
 from mastickeel_router.storeview.watchers import choose_watcher, is_watcher, rank_watchers
 
@@ -122,6 +122,8 @@
     outage_age_ms: int | None = None
     """Time since the end of the newest outage of the store that the instance has seen, 0 while it
     lasts; None if there was none lately."""
+    outage_is_certain: bool = True
+    """Whether more than one call failed in that outage."""
 
 
 @dataclass(frozen=True)
@@ -336,7 +338,7 @@
             self._suspected_until_ms[peer] = self._clock.now() + SUSPICION_MS
             return False
         if reply.outage_age_ms is not None and reply.removals:
-            await self._confirm_outage(peer, reply.outage_age_ms)
+            await self._confirm_outage(peer, reply)
         now = self._clock.now()
         age_ms = reply.age_ms + now - begin_ms
         revision = self._view.revision
@@ -363,7 +365,7 @@
                 self._link.reconnect(peer)
             return None
 
-    async def _confirm_outage(self, peer: str, outage_age_ms: int) -> None:
+    async def _confirm_outage(self, peer: str, known: ChangesReply) -> None:
         """Records an outage that a peer has seen if another one has seen it too.
 
         Keys that were removed meanwhile may be those of live owners; but a store that failed the
@@ -377,10 +379,13 @@
         }
         if not (others := sorted(watchers - {peer})):
             return
+        received_ms = self._clock.now()
         reply = await self._fetch(self._rng.choice(others))
-        if reply is not None and reply.outage_age_ms is not None:
-            ended_ms = self._clock.now() - min(outage_age_ms, reply.outage_age_ms)
-            self._view.record_peer_outage(ended_ms)
+        if reply is None or reply.outage_age_ms is None or known.outage_age_ms is None:
+            return
+        ended_ms = max(received_ms - known.outage_age_ms, self._clock.now() - reply.outage_age_ms)
+        is_certain = known.outage_is_certain and reply.outage_is_certain
+        self._view.record_peer_outage(OutageEnd(ended_ms, is_certain))
 
     async def _answer(self, sender: str, request: ChangesRequest) -> ChangesReply:
         view = self._view
@@ -401,6 +406,7 @@
             changes.is_whole,
             covers_all=True,
             outage_age_ms=view.outage_age_ms(),
+            outage_is_certain=view.is_outage_certain,
         )
 
 
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -12,7 +12,7 @@
 
 from mastickeel.events import define_event
 from mastickeel.logs import log
-from mastickeel_router.discovery.feeds import WatchHandler
+from mastickeel_router.discovery.feeds import OutageEnd, WatchHandler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,7 +96,7 @@
         """Revision after which no removal is missing."""
         self._confirmed_ms: int | None = None
         self._is_down = False
-        self._outage_ended_ms: int | None = None
+        self._outage_end: OutageEnd | None = None
 
     def handler(self) -> WatchHandler:
         """Returns the handler for the instance's own watch."""
@@ -121,11 +121,16 @@
         """
         if self._is_down:
             return 0
-        if self._outage_ended_ms is None:
+        if self._outage_end is None:
             return None
-        age_ms = self._clock.now() - self._outage_ended_ms
+        age_ms = self._clock.now() - self._outage_end.at_ms
         return age_ms if age_ms <= OUTAGE_RELEVANT_MS else None
 
+    @property
+    def is_outage_certain(self) -> bool:
+        """Whether more than one call failed in the newest outage."""
+        return self._is_down or (self._outage_end is not None and self._outage_end.is_certain)
+
     def forget_confirmation(self) -> None:
         """Records that the age of the knowledge is not known until the store or a peer replies."""
         self._confirmed_ms = None
@@ -142,17 +147,17 @@
         removals = [one for one in self._removals_by_key.values() if one.revision > after]
         return Changes(self.era, self.revision, tuple(items), tuple(removals), is_whole)
 
-    def record_peer_outage(self, ended_ms: int) -> None:
+    def record_peer_outage(self, end: OutageEnd) -> None:
         """Records an outage of the store that peers have seen, before the changes since then.
 
         Args:
-            ended_ms: Clock time of its end, or the present time while it lasts.
+            end: Its end; at the present time while it lasts.
         """
-        known_ms = self._outage_ended_ms
-        if known_ms is None or ended_ms > known_ms + OUTAGE_STEP_MS:
-            self._outage_ended_ms = ended_ms
+        known = self._outage_end
+        if known is None or end.at_ms > known.at_ms + OUTAGE_STEP_MS:
+            self._outage_end = end
             self._handler.on_outage()
-            self._handler.on_recovery()
+            self._handler.on_recovery(end)
 
     def apply_peer_changes(self, peer: str, changes: Changes, age_ms: int) -> None:
         """Applies changes that another instance has read.
@@ -195,10 +200,10 @@
         self._is_down = True
         self._handler.on_outage()
 
-    def _end_outage(self) -> None:
+    def _end_outage(self, end: OutageEnd) -> None:
         self._is_down = False
-        self._outage_ended_ms = self._clock.now()
-        self._handler.on_recovery()
+        self._outage_end = end
+        self._handler.on_recovery(end)
 
     def _apply_list(self, items: tuple[KeyValue, ...], revision: int) -> None:
         """Applies a list of all keys; shared keys that are known from a later revision are kept."""
--- a/tests/mastickeel_router/discovery/test_feeds.py
+++ b/tests/mastickeel_router/discovery/test_feeds.py
@@ -22,7 +22,7 @@
             lambda item: self.seen.append(item.value),
             lambda key, _: self.seen.append(f"gone {key}"),
             lambda: self.seen.append("outage"),
-            lambda: self.seen.append("return"),
+            lambda end: self.seen.append(("return", end.is_certain)),
         )
         self.store.put("p/a", b"1")
         self.store.put("q/a", b"9")
@@ -48,7 +48,7 @@
         self.store.put("p/b", b"2")
         self.store.set_down(False)
         await self.clock.advance(MAX_BACKOFF_MS)
-        self.assertEqual(self.seen, [["p/a"], "outage", "return", b"2"])
+        self.assertEqual(self.seen, [["p/a"], "outage", ("return", True), b"2"])
         self.assertEqual(self.store.range_reads, 1)
 
     async def test_changes_in_quick_succession_do_not_cost_a_poll_each(self) -> None:
--- a/tests/mastickeel_router/discovery/test_registry.py
+++ b/tests/mastickeel_router/discovery/test_registry.py
@@ -8,7 +8,8 @@
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
 from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
-from mastickeel_router.discovery.registry import OUTAGE_GRACE_MS
+from mastickeel_router.discovery.feeds import OutageEnd
+from mastickeel_router.discovery.registry import OUTAGE_GRACE_MS, SUSPECTED_OUTAGE_GRACE_MS
 
 RECORD = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1", started_ms=7)
 
@@ -56,16 +57,34 @@
     async def test_entry_that_expires_around_an_outage_is_kept_for_the_grace_time(self) -> None:
         self.registry.put(RECORD, 1)
         self.registry.begin_outage()
-        self.registry.end_outage()
+        self.registry.end_outage(OutageEnd(self.clock.now()))
         self.registry.remove("e1", 2)
         self.assertEqual(self.usable(), ["e1"])
         await self.clock.advance(OUTAGE_GRACE_MS)
         self.assertEqual(self.usable(), [])
 
+    async def test_grace_time_begins_when_the_end_of_an_outage_becomes_known(self) -> None:
+        ended_ms = self.clock.now()
+        await self.clock.advance(3_400)
+        self.registry.put(RECORD, 1)
+        self.registry.begin_outage()
+        self.registry.end_outage(OutageEnd(ended_ms))
+        self.registry.remove("e1", 2)
+        self.assertEqual(self.usable(), [])
+
+    async def test_single_failed_call_shortens_the_grace_time_of_an_outage(self) -> None:
+        self.registry.put(RECORD, 1)
+        for is_certain in (True, False):
+            self.registry.begin_outage()
+            self.registry.end_outage(OutageEnd(self.clock.now(), is_certain))
+        self.registry.remove("e1", 2)
+        await self.clock.advance(SUSPECTED_OUTAGE_GRACE_MS)
+        self.assertEqual(self.usable(), ["e1"])
+
     async def test_endpoint_that_registers_again_in_time_stays(self) -> None:
         self.registry.put(RECORD, 1)
         self.registry.begin_outage()
-        self.registry.end_outage()
+        self.registry.end_outage(OutageEnd(self.clock.now()))
         self.registry.replace([], 2)
         self.registry.put(RECORD, 3)
         await self.clock.advance(OUTAGE_GRACE_MS)
--- a/tests/mastickeel_router/fleet/test_instances.py
+++ b/tests/mastickeel_router/fleet/test_instances.py
@@ -10,6 +10,7 @@
 from mastickeel.clock import FakeClock
 from mastickeel.metrics import Metrics
 from mastickeel.peers import PeerLink
+from mastickeel_router.discovery.feeds import OutageEnd
 from mastickeel_router.fleet import InstanceDirectory, PeerTraits
 from mastickeel_router.fleet.instances import KEPT_MS, OUTAGE_GRACE_MS
 from tests.mastickeel_router.memorystore import MemoryStore
@@ -51,7 +52,7 @@
     async def test_live_peers_are_forgotten_when_the_store_loses_their_leases(self) -> None:
         self.handler.on_outage()
         self.delete("edge-2")
-        self.handler.on_recovery()
+        self.handler.on_recovery(OutageEnd(self.clock.now()))
         await self.clock.advance(OUTAGE_GRACE_MS - 1)
         self.delete("edge-3")
         self.assertEqual(self.known(), {"edge-2", "edge-3"})
@@ -61,18 +62,18 @@
 
     async def test_live_peers_are_forgotten_by_a_list_after_an_outage(self) -> None:
         self.handler.on_outage()
-        self.handler.on_recovery()
+        self.handler.on_recovery(OutageEnd(self.clock.now()))
         self.handler.on_list((), 20)
         self.assertEqual(self.known(), {"edge-2", "edge-3"})
 
     async def test_live_peers_are_forgotten_in_a_second_outage(self) -> None:
         self.handler.on_outage()
         self.delete("edge-2")
-        self.handler.on_recovery()
+        self.handler.on_recovery(OutageEnd(self.clock.now()))
         self.handler.on_outage()
         await self.clock.advance(2 * KEPT_MS)
         self.assertEqual(self.known(), {"edge-2", "edge-3"})
-        self.handler.on_recovery()
+        self.handler.on_recovery(OutageEnd(self.clock.now()))
         await self.clock.advance(KEPT_MS + 1)
         self.assertEqual(self.known(), {"edge-3"})
 
--- a/tests/mastickeel_router/storeview/simulation.py
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -14,13 +14,15 @@
 import msgspec
 
 from mastickeel._kvtypes import KeyValue, RangeResult, WatchBatch
+from mastickeel.addresses import Address
 from mastickeel.clock import Clock, FakeClock
 from mastickeel.errors import StoreEraChangedError, StoreUnavailableError
 from mastickeel.peermessages import encode_content
 from mastickeel.peers import Envelope, PeerTimeoutError
 from mastickeel.storeera import StoreEra
 from mastickeel.tasks import TaskGroup
-from mastickeel_router.discovery.feeds import WatchHandler
+from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
+from mastickeel_router.discovery.feeds import WatchHandler, combine_handlers
 from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
 
 if TYPE_CHECKING:
@@ -32,6 +34,8 @@
 WATCH_TIMEOUT_MS = 2_400
 CALL_TIMEOUT_MS = 1_500
 MEMBERS_PREFIX = "instances/"
+ENDPOINTS_PREFIX = "endpoints/"
+SERVICE = "register"
 CHANGE_KEY = "routes/all"
 START_MS = 5_000
 IDLE_MS = 20_000
@@ -138,6 +142,11 @@
         self._shared = shared
         self._clock = clock
         self._world = world
+        self._cut = asyncio.Event()
+
+    def cut_watch(self) -> None:
+        """Cuts the watch that waits, as the store may do at any time."""
+        self._cut.set()
 
     async def range(self, key: str, *, prefix: bool = False) -> RangeResult:
         async def read() -> RangeResult:
@@ -153,10 +162,15 @@
         async def wait(wait_ms: int) -> tuple[list[Any], int]:
             if wait_ms and self._shared.revision <= after:
                 timer = asyncio.ensure_future(self._world.sleep(wait_ms))
+                self._cut = asyncio.Event()
+                cut = asyncio.ensure_future(self._cut.wait())
                 await asyncio.wait(
-                    [timer, self._shared.next_change()], return_when=asyncio.FIRST_COMPLETED
+                    [timer, cut, self._shared.next_change()], return_when=asyncio.FIRST_COMPLETED
                 )
                 timer.cancel()
+                cut.cancel()
+                if self._cut.is_set():
+                    raise StoreUnavailableError("the watch was cut")
             return self._shared.changes_after(after), self._shared.revision
 
         wait_ms, timeout_ms = WATCH_WAIT_MS, float(WATCH_TIMEOUT_MS)
@@ -277,6 +291,22 @@
         self.sent_bytes += len(msgspec.msgpack.encode(envelope))
 
 
+def follow_endpoints(registry: EndpointRegistry) -> WatchHandler:
+    """Returns the handler of the endpoints' keys; the value of a key is of no account."""
+
+    def read(item: KeyValue) -> EndpointRecord:
+        return EndpointRecord(item.key, SERVICE, Address("127.0.0.1", 1), "dc-0", "v1")
+
+    return WatchHandler(
+        lambda items, revision: registry.replace([read(item) for item in items], revision),
+        lambda item: registry.put(read(item), item.mod_revision),
+        registry.remove,
+        registry.begin_outage,
+        registry.end_outage,
+        registry.begin_era,
+    )
+
+
 class SimulatedInstance:
     """An instance: its knowledge of the store, and the members that it knows by it."""
 
@@ -291,12 +321,20 @@
         self.loaded_ms: int | None = None
         self.values: list[bytes] = []
         self.outages = 0
+        self.endpoints = EndpointRegistry(self.clock)
         self._members_by_id: dict[str, Member] = {}
         self._fleet = fleet
         self._tasks = TaskGroup()
         self.knowledge: Any = StoreKnowledge(
             self.store,
-            WatchHandler(self._apply_all, self._apply, self._remove, on_outage=self._count_outage),
+            combine_handlers(
+                {
+                    ENDPOINTS_PREFIX: follow_endpoints(self.endpoints),
+                    "": WatchHandler(
+                        self._apply_all, self._apply, self._remove, on_outage=self._count_outage
+                    ),
+                }
+            ),
             clock=self.clock,
             rng=random.Random(number),
             tasks=self._tasks,
--- a/tests/mastickeel_router/storeview/test_watchers.py
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -7,6 +7,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from mastickeel_router.discovery.feeds import OutageEnd
 from mastickeel_router.storeview.watchers import (
     Member,
     choose_watcher,
@@ -15,15 +16,22 @@
 )
 from tests.mastickeel_router.storeview.simulation import (
     CHANGE_KEY,
+    ENDPOINTS_PREFIX,
+    SERVICE,
     SimulatedFleet,
     SimulatedInstance,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
 APPLY_MS = 2_000
 """Time within which a change must be in force at each instance that reaches the store or a peer."""
+CONTACT_MS = 3_000
+"""Time after an outage of the store from which on an endpoint that left may not be used longer."""
+DRAIN_MS = 2_000
+"""Time for which an endpoint may be used after the store has accepted that it leaves."""
+ENDPOINT_KEY = f"{ENDPOINTS_PREFIX}i-1"
 SETTLED_MS = 6_000
 MEASURED_MS = 20_000
 FAULTS: dict[str, Callable[[SimulatedInstance], None]] = {
@@ -168,7 +176,7 @@
         watchers = fleet.list_watchers()
         for instance in watchers[:witnesses]:
             instance.knowledge._view.handler().on_outage()
-            instance.knowledge._view.handler().on_recovery()
+            instance.knowledge._view.handler().on_recovery(OutageEnd(instance.clock.now()))
         seen = {one.id: one.outages for one in fleet.instances}
         fleet.store.delete("endpoints/i-1")
         await fleet.clock.advance(APPLY_MS)
@@ -179,6 +187,55 @@
         watchers = {one.id for one in fleet.list_watchers()}
         self.assertEqual(set(taken_over), {one.id for one in fleet.instances} - watchers)
 
+    async def measure_removal(
+        self, fleet: SimulatedFleet, disturb: Callable[[], Awaitable[None]], after_ms: int
+    ) -> int:
+        """Removes an endpoint some time after a disturbance; returns how long it is used then."""
+        fleet.store.put(ENDPOINT_KEY, b"")
+        await fleet.clock.advance(SETTLED_MS)
+        await disturb()
+        await fleet.clock.advance(after_ms)
+        fleet.store.delete(ENDPOINT_KEY)
+        begin_ms = fleet.clock.now()
+        while any(one.endpoints.usable(SERVICE) for one in fleet.instances):
+            await fleet.clock.advance(20)
+        return fleet.clock.now() - begin_ms
+
+    async def test_endpoint_that_leaves_after_an_outage_is_used_for_too_long(self) -> None:
+        """Guards against grace times that begin when a follower hears of the end of an outage."""
+        for outage_ms in (300, 1_000, 4_500):
+            for fault in ("refuses", "silent"):
+                fleet = await self.start_fleet([2, 2, 2])
+
+                async def fail(
+                    fleet: SimulatedFleet = fleet, outage_ms: int = outage_ms, fault: str = fault
+                ) -> None:
+                    for instance in fleet.instances:
+                        setattr(instance.store.access, fault, True)
+                    await fleet.clock.advance(outage_ms)
+                    for instance in fleet.instances:
+                        setattr(instance.store.access, fault, False)
+
+                for after_ms in (CONTACT_MS, CONTACT_MS + 400, CONTACT_MS + 1_500):
+                    with self.subTest(outage_ms=outage_ms, fault=fault, after_ms=after_ms):
+                        used_ms = await self.measure_removal(fleet, fail, after_ms)
+                        self.assertLessEqual(used_ms, DRAIN_MS)
+
+    async def test_endpoint_that_leaves_after_a_cut_watch_is_used_for_too_long(self) -> None:
+        """Guards against a single failed call that counts as an outage of the store."""
+        for cut in ("one", "all"):
+            fleet = await self.start_fleet([2, 2, 2])
+
+            async def cut_watches(fleet: SimulatedFleet = fleet, cut: str = cut) -> None:
+                for instance in fleet.list_watchers()[: 1 if cut == "one" else None]:
+                    instance.store.cut_watch()
+                await fleet.clock.advance(0)
+
+            for after_ms in (0, 20, 300, 1_000):
+                with self.subTest(cut=cut, after_ms=after_ms):
+                    used_ms = await self.measure_removal(fleet, cut_watches, after_ms)
+                    self.assertLessEqual(used_ms, DRAIN_MS)
+
     async def test_one_watcher_that_the_store_failed_makes_others_keep_endpoints(self) -> None:
         _, taken_over = await self.remove_with_outage_at(1)
         self.assertEqual(taken_over, [])
