End a stream that has begun when the next endpoint answers with an error

Cause: a complete answer with any status was to be delivered, also when the caller already had a part of another one. Nothing was written then, and nothing ended the connection, as the request was done.

Change: an answer that was not forwarded as it arrived cannot be delivered after a part of another one. The request goes to another endpoint if the route allows one, whatever the status; otherwise the caller's connection is closed at once, and the caller can resume.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -77,6 +77,8 @@
     """Id of the instance through which the request was sent; empty for none."""
     path_lost: bool = False
     """Whether no connection was made for want of a path, which says nothing of the endpoint."""
+    is_forwarded: bool = False
+    """Whether the answer was a stream that was forwarded to the caller as it arrived."""
 
 
 @dataclass(frozen=True)
@@ -141,10 +143,17 @@
         return route.allows_retry or not state.may_have_run
     if result.outcome is SendOutcome.WHOLE:
         failed = result.head is not None and result.head.status >= 500
-        return failed and route.allows_retry
+        return (failed or not is_deliverable(result, state)) and route.allows_retry
     return route.allows_retry
 
 
+def is_deliverable(result: SendResult, state: RequestState) -> bool:
+    """Returns whether the caller can get the answer, which may come after a part of another one."""
+    if result.outcome is not SendOutcome.WHOLE:
+        return False
+    return result.is_forwarded or not state.head_forwarded
+
+
 def next_step(
     result: SendResult, route: Route, state: RequestState, *, retry_granted: bool
 ) -> NextStep:
@@ -158,7 +167,7 @@
     """
     if retry_granted:
         return NextStep.SEND_AGAIN
-    if result.outcome is SendOutcome.WHOLE:
+    if is_deliverable(result, state):
         return NextStep.DELIVER
     if state.head_forwarded:
         return NextStep.BREAK_OFF
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -171,7 +171,7 @@
             granted = self._acquire_retry(result, state)
             step = next_step(result, self._route, state, retry_granted=granted)
             if result.outcome is not SendOutcome.WHOLE or step is not NextStep.DELIVER:
-                reason = result.reason or f"status {result.head.status if result.head else 0}"
+                reason = _describe_failure(result)
                 self._log.write(
                     SEND_ENDED,
                     endpoint=endpoint.id,
@@ -455,7 +455,7 @@
         """Delivers the last send's answer, or raises the error that ends the request."""
         if step is NextStep.DELIVER:
             assert result.head is not None
-            if not self._responder.started:
+            if not result.is_forwarded:
                 await self._responder.write_answer(
                     result.head.status, result.head.headers, result.body
                 )
@@ -466,7 +466,7 @@
             retry_ms = self._jitter(BUSY_RETRY_MS)
             raise UnavailableError("No endpoint accepted the request.", retry_after_ms=retry_ms)
         else:
-            raise EndpointError(f"The last endpoint failed: {result.reason}.")
+            raise EndpointError(f"The last endpoint failed: {_describe_failure(result)}.")
 
     def _jitter(self, retry_ms: int) -> int:
         """Varies a retry time, so that callers refused together do not retry together."""
@@ -498,6 +498,11 @@
         await send_error(self._context.dialect, error, self._request.id, self._responder)
 
 
+def _describe_failure(result: SendResult) -> str:
+    """Returns why an answer is not delivered."""
+    return result.reason or f"status {result.head.status if result.head else 0}"
+
+
 def _release_nothing() -> None:
     """Stands for the memory of an answer before the first send."""
 
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -308,7 +308,9 @@
         assert self.head is not None
         outcome = self._outcome
         reason = "" if outcome is SendOutcome.WHOLE else f"status {self.head.status}"
-        return SendResult(outcome, self.head, self._body.join(), reason=reason)
+        return SendResult(
+            outcome, self.head, self._body.join(), reason=reason, is_forwarded=self._is_forwarded
+        )
 
     def describe_end(self, connection: ConnectionEnd) -> AnswerEnd | None:
         """Describes how the answer ended; returns None when no head has arrived.
