Break a stream off at bytes that are not its next event

Cause: whatever a blank line ended was passed on as an event. Only numbers that skip or repeat were looked at.

Change: once an event of a stream had an id, each further one has one, and an event consists of comments and fields, whose names are in lowercase. Anything else ends the send as a gap does: the events before it are forwarded, and the stream goes on at another endpoint or the connection is closed.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -17,7 +17,12 @@
 )
 from mastickeel_router.relay.policy import AnswerEnd, SendOutcome, SendResult, classify_answer
 from mastickeel_router.routes import RouteKind
-from mastickeel_router.sse import EventSplitter, event_sequence
+from mastickeel_router.sse import (
+    EventSplitter,
+    event_sequence,
+    is_comment,
+    is_well_formed,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -46,11 +51,11 @@
 
 
 class StreamGapError(MastickeelError):
-    """Raised when a stream skips an event; its connection is closed."""
+    """Raised when a stream skips an event or brings something else; its connection is closed."""
 
     code = "stream_gap"
     status = 502
-    title = "The endpoint's stream skipped an event."
+    title = "The endpoint's stream does not go on with the next event."
     remedy = "Send the request again."
 
 
@@ -326,13 +331,20 @@
         """Forwards complete events in order and each once; skips events already forwarded.
 
         Raises:
-            StreamGapError: When an event is missing; the events before the gap are forwarded first.
+            StreamGapError: When an event is missing or malformed; the events before it are
+                forwarded first.
         """
         fresh: list[bytes] = []
         last = self._progress.last_event
         gap = ""
         for event in events:
             number = event_sequence(event)
+            if not is_well_formed(event):
+                gap = f"Bytes that are no event followed event {last}."
+                break
+            if number is None and last is not None and not is_comment(event):
+                gap = f"An event without a number followed event {last}."
+                break
             self._newest_event = self._newest_event if number is None else number
             if number is not None and last is not None:
                 if number <= last:
--- a/packages/mastickeel_router/src/mastickeel_router/sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -15,6 +15,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 OUTSIDE_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?>\r\n|\n|\r))*")
 """Blank lines and comments only."""
+FIELD_LINES = re.compile(rb"(?:(?:[a-z][a-z0-9_-]*)?(?::[^\r\n]*)?(?>\r\n|\n|\r))*+")
+"""Fields, comments and blank lines only; names of fields are in lowercase, unlike those of the
+headers of an HTTP message."""
 
 
 class EventSplitter:
@@ -93,6 +96,16 @@
     return None
 
 
+def is_comment(event: bytes) -> bool:
+    """Returns whether an event has no field."""
+    return OUTSIDE_EVENTS.fullmatch(event) is not None
+
+
+def is_well_formed(event: bytes) -> bool:
+    """Returns whether an event consists of fields and comments."""
+    return FIELD_LINES.fullmatch(event) is not None
+
+
 def decode_event(event: bytes) -> dict[str, Any]:
     """Returns an event's data as JSON.
 
--- a/tests/mastickeel_platform/test_begun_streams.py
+++ b/tests/mastickeel_platform/test_begun_streams.py
@@ -188,6 +188,20 @@
             reply = await self.send("/third/a", Failure(status, TEXT, "length", False))
             self.assertTrue(reply.complete, status)
 
+    async def test_begun_stream_goes_on_with_an_event_without_an_id(self) -> None:
+        """Guards against a text that an endpoint sends as an event instead of the next one."""
+        head = b"HTTP/1.1 500 X\r\nServer-Seal: 1\r\n\r\n"
+        bodies = (BODIES[2], event_bytes(3) + BODIES[2], head, event_bytes(3)[:-6] + head)
+        for body in bodies:
+            for path in ("/draft/a", "/third/a"):
+                await self.check(path, Failure("200 OK", body, "chunked", True), "reset")
+
+    async def test_comment_inside_a_stream_is_passed_on(self) -> None:
+        rest = b": waiting\n\n" + event_bytes(3) + event_bytes(4)
+        reply = await self.send("/draft/a", Failure("200 OK", rest, "chunked", True))
+        self.assertEqual(reply.body, event_bytes(1) + event_bytes(2) + rest)
+        self.assertTrue(reply.complete)
+
     async def test_error_is_passed_on_before_a_stream_has_begun(self) -> None:
         async def fail(request: Request, writer: asyncio.StreamWriter) -> None:
             writer.write(answer_bytes(request, TEXT, status="404 Not Found"))
