Believe a refusal only if it names the request

A caller was told that its request had not run although it had (REFUSED), and a request that may run once ran three times (TWICE), beside an endpoint that writes an earlier refusal without an id when a connection begins.

Cause: a refusal without an id was taken for the answer to whatever had been sent last.

Change: a refusal that names no request is skipped, as the answer to another request is. A connection on which the endpoint has spoken before the request is closed unused. The pool of kept connections looks at the kernel's buffer too, and orders to engines use a connection of their own, as an answer that was written twice could be taken for the next call's.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -11,6 +11,7 @@
 import asyncio
 import math
 import socket
+import ssl
 from collections import defaultdict, deque
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
@@ -41,7 +42,6 @@
 )
 
 if TYPE_CHECKING:
-    import ssl
     from collections.abc import Awaitable, Callable
 
     from mastickeel.addresses import Address
@@ -128,9 +128,9 @@
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Whether bytes have arrived that belong to no answer."""
+        """Whether bytes have arrived that belong to no answer, or the end of the connection."""
         # IOStream has no public method for this, and a read would consume the bytes.
-        return bool(self._stream._read_buffer_size)
+        return bool(self._stream._read_buffer_size) or _has_waiting_data(self._stream.socket)
 
     def close(self) -> None:
         """Closes the connection and ends the exchange that runs on it."""
@@ -479,6 +479,7 @@
         timeouts: Timeouts | None = None,
         *,
         limit_bytes: int = CALL_LIMIT_BYTES,
+        fresh: bool = False,
     ) -> HttpAnswer:
         """Sends a request and returns its complete answer.
 
@@ -488,6 +489,8 @@
             timeouts: The timeouts of the exchange; None for the default timeouts. Without one for
                 the whole answer, ``CALL_TIMEOUT_MS`` holds.
             limit_bytes: Maximum size of the answer's body.
+            fresh: Whether to use a connection for this call alone, as for calls whose answer must
+                not be taken for that of an earlier one.
 
         Returns:
             The answer, with any status.
@@ -499,7 +502,7 @@
         timeouts = timeouts or Timeouts()
         if timeouts.total_ms == math.inf:
             timeouts = replace(timeouts, total_ms=CALL_TIMEOUT_MS)
-        connection = await self.connect(address, timeouts=timeouts)
+        connection = await self.connect(address, timeouts=timeouts, fresh=fresh)
         heads: list[HttpHead] = []
         body = LimitedBody(limit_bytes)
         try:
@@ -510,7 +513,7 @@
             # What silenced this connection may have silenced the idle ones to the same server.
             self._close_idle(address)
             raise
-        if heads[-1].headers.get("Connection", "").lower() == "close":
+        if fresh or heads[-1].headers.get("Connection", "").lower() == "close":
             connection.close()
         self.release(connection)
         return HttpAnswer(heads[-1].status, heads[-1].headers, body.join())
@@ -568,6 +571,20 @@
                     idle.popleft().close()
 
 
+def _has_waiting_data(sock: socket.socket) -> bool:
+    """Returns whether data or the end of the connection waits in the kernel, unread so far."""
+    if isinstance(sock, ssl.SSLSocket):
+        # What waits is encrypted, and may be a message of the protocol itself.
+        return False
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def configure_socket(sock: socket.socket) -> None:
     """Sets socket options that let the kernel drop a connection whose peer acknowledges nothing."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -106,6 +106,11 @@
     )
 
 
+def is_refusal(head: AnswerHead) -> bool:
+    """Returns whether an answer states that the request which it names did not run."""
+    return head.not_run or head.status == 421
+
+
 def classify_answer(head: AnswerHead, *, expects_stream: bool) -> SendOutcome:
     """Returns the outcome of a send whose answer arrived completely.
 
@@ -113,8 +118,8 @@
         head: Status and headers of the answer.
         expects_stream: Whether the route's answers are streams.
     """
-    if head.not_run or head.status == 421:
-        return SendOutcome.NOT_RUN
+    if is_refusal(head):
+        return SendOutcome.NOT_RUN if head.request_id else SendOutcome.BROKEN
     if head.encoded:
         return SendOutcome.BROKEN
     if 200 <= head.status < 300:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -15,7 +15,13 @@
     Timeouts,
     TunnelRefusedError,
 )
-from mastickeel_router.relay.policy import AnswerEnd, SendOutcome, SendResult, classify_answer
+from mastickeel_router.relay.policy import (
+    AnswerEnd,
+    SendOutcome,
+    SendResult,
+    classify_answer,
+    is_refusal,
+)
 from mastickeel_router.routes import RouteKind
 from mastickeel_router.sse import (
     EventSplitter,
@@ -115,6 +121,9 @@
             reason=f"{error.code}: {error.detail}",
             path_lost=paths.is_lost(endpoint.id) and not isinstance(error, TunnelRefusedError),
         )
+    if connection.has_unread_bytes:
+        connection.close()
+        return SendResult(SendOutcome.UNREACHED, reason="the endpoint spoke before the request")
     if not may_send():
         connection.close()
         return SendResult(SendOutcome.WITHHELD, reason="the endpoint wants no request now")
@@ -237,6 +246,9 @@
         head = self._dialect.read_answer(http_head)
         if head.request_id and head.request_id != self._request.id:
             raise ForeignAnswerError(f"The answer names {head.request_id}, not {self._request.id}.")
+        if is_refusal(head) and not head.request_id:
+            # It may be an earlier refusal that the endpoint has written once more.
+            raise ForeignAnswerError("A refusal names no request.")
         self.head = head
         self._outcome = classify_answer(head, expects_stream=self.expects_stream)
         self._framing = http_head.framing
--- a/packages/mastickeel_router/src/mastickeel_router/rollouts/orders.py
+++ b/packages/mastickeel_router/src/mastickeel_router/rollouts/orders.py
@@ -246,7 +246,8 @@
         content = msgspec.json.encode(body) if body else b""
         request = HttpRequest(method, path, {"Content-Type": "application/json"}, content)
         timeouts = Timeouts(first_byte_ms=timeout_ms, between_bytes_ms=timeout_ms)
-        answer = await self._http.call(Address.parse(endpoint.address), request, timeouts)
+        address = Address.parse(endpoint.address)
+        answer = await self._http.call(address, request, timeouts, fresh=True)
         if answer.status != 200:
             raise MastickeelError(f"{path} answered {answer.status}.")
         try:
--- a/tests/mastickeel/test_httpclient.py
+++ b/tests/mastickeel/test_httpclient.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import socket
+import threading
+import time
 import unittest
 from pathlib import Path
 
@@ -20,6 +23,7 @@
 
 REQUEST = HttpRequest("GET", "/")
 TIMEOUTS = Timeouts(100, 500, 500)
+PAUSE_S = 0.05
 
 
 def open_sockets() -> int:
@@ -68,6 +72,37 @@
         self.assertEqual(answer.body, b"ok")
         self.assertFalse((await self.client.connect(address, timeouts=TIMEOUTS)).reused)
 
+    async def test_earlier_answer_that_is_repeated_is_taken_for_that_of_the_next_call(self) -> None:
+        """Guards against a connection whose unread bytes this process has had no time to see."""
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        answered = threading.Event()
+        connections: list[socket.socket] = []
+
+        def serve() -> None:
+            for number in range(2):
+                connection, _ = server.accept()
+                connections.append(connection)
+                connection.recv(4_096)
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % number
+                connection.sendall(answer)
+                time.sleep(PAUSE_S)
+                with contextlib.suppress(OSError):
+                    connection.sendall(answer)
+                answered.set()
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        address = Address("127.0.0.1", server.getsockname()[1])
+        first = await self.client.call(address, REQUEST, TIMEOUTS)
+        # The repeated answer arrives while the event loop does something else.
+        answered.wait()
+        second = await self.client.call(address, REQUEST, TIMEOUTS)
+        self.assertEqual((first.body, second.body), (b"0", b"1"))
+        thread.join()
+        for connection in connections:
+            connection.close()
+
     async def test_silent_server_breaks_the_exchange(self) -> None:
         address = await self.serve(b"")
         with self.assertRaises(ExchangeBrokenError):
