Find that an endpoint has ended without the peers that were lost

Cause: two peers had to be refused by the endpoint too, and listed peers that did not reply counted as peers that had found nothing, until their entries expired. Peers were requested one after the other.

Change: paths/findings.py decides from what each peer found. Peers that do not reply have no vote; if all others are silent, one peer suffices, or this instance alone if its own paths hold. Three peers are requested at the same time, then six more.

--- a/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/paths.py
@@ -10,6 +10,7 @@
 from mastickeel.httpmessages import ConnectionFailedError, Timeouts, TunnelRefusedError
 from mastickeel.logs import log
 from mastickeel.peers import message
+from mastickeel_router.paths.findings import Finding, decide_end
 from mastickeel_router.paths.tunnels import ENDPOINT_FAULTS
 
 if TYPE_CHECKING:
@@ -25,6 +26,9 @@
 
 MAX_PEERS_TRIED = 3
 """Peers that are tried for one connection."""
+MAX_PEERS_CHECKED = 9
+"""Peers that are requested to find out whether an endpoint has ended, as many of them may have
+ended themselves."""
 MIN_FAILED_PEERS = 2
 """Peers that must fail to connect to an endpoint, if there are as many, before it is taken to be
 unreachable for all: one may be cut off itself, or a whole data centre."""
@@ -224,12 +228,37 @@
             return False
         if not self._list_peers():
             return True
+        may_be_cut = self._monitor.may_be_cut
+        peers = _mix_data_centres(self._rank_peers())[:MAX_PEERS_CHECKED]
+        findings: list[Finding] = []
+        for batch in (peers[:MAX_PEERS_TRIED], peers[MAX_PEERS_TRIED:]):
+            findings += await asyncio.gather(
+                *(self._find_through_peer(endpoint, *one, timeouts) for one in batch)
+            )
+            has_ended = decide_end(
+                findings, is_last=len(findings) == len(peers), may_be_cut=may_be_cut
+            )
+            if has_ended is not None:
+                break
+        if Finding.REACHED in findings:
+            self._monitor.record_lost([endpoint.id])
+        return bool(has_ended)
+
+    async def _find_through_peer(
+        self, endpoint: EndpointRecord, peer_id: str, peer: TunnelPeer, timeouts: Timeouts
+    ) -> Finding:
+        """Returns what a peer finds when it connects to an endpoint."""
         try:
-            (await self._connect_through_peer(endpoint, timeouts)).close()
-        except ConnectionFailedError as error:
-            return error.refused
-        self._monitor.record_lost([endpoint.id])
-        return False
+            connection = await self._client.connect(
+                endpoint.address, timeouts=timeouts, fresh=True, via=peer.address
+            )
+        except TunnelRefusedError as error:
+            return Finding.REFUSED if error.refused else Finding.UNCERTAIN
+        except ConnectionFailedError:
+            self._avoid(peer_id)
+            return Finding.NO_REPLY
+        connection.close()
+        return Finding.REACHED
 
     def _verify(self, endpoint: EndpointRecord) -> None:
         """Checks in the background whether peers reach an endpoint that this instance does not."""
--- a/tests/mastickeel_router/paths/test_paths.py
+++ b/tests/mastickeel_router/paths/test_paths.py
@@ -198,6 +198,35 @@
             self.failures[FAR] = TunnelRefusedError("failed", far)
             self.assertEqual(await self.paths.has_ended(endpoint), has_ended, far)
 
+    async def test_endpoint_that_crashes_after_the_loss_of_peers_has_not_ended(self) -> None:
+        """Guards against crashes that go unnoticed until the lost peers are no longer listed."""
+        for live in range(3):
+            lost = {f"lost-{n}": Address("127.0.1.1", n + 1) for n in range(6)}
+            witnesses = {f"live-{n}": Address("127.0.1.2", n + 1) for n in range(live)}
+            addresses = {**lost, **witnesses}
+            self.peers.clear()
+            self.peers.update({one: TunnelPeer(at, True) for one, at in addresses.items()})
+            self.failures = {None: refused()}
+            self.failures |= dict.fromkeys(lost.values(), ConnectionFailedError("no answer"))
+            for address in witnesses.values():
+                self.failures[address] = TunnelRefusedError("ended", "connection_refused")
+            with self.subTest(live=live):
+                self.monitor.record_success(ENDPOINTS[1].id)
+                self.assertTrue(await self.paths.has_ended(ENDPOINTS[0]))
+
+    async def test_instance_that_reaches_nobody_reports_crashes(self) -> None:
+        self.failures = dict.fromkeys((NEAR, FAR), ConnectionFailedError("no answer"))
+        self.failures[None] = refused()
+        for endpoint in ENDPOINTS[1:]:
+            await self.connect_to(endpoint)
+        self.assertFalse(await self.paths.has_ended(ENDPOINTS[0]))
+
+    async def test_live_endpoint_is_taken_for_ended_beside_lost_peers(self) -> None:
+        self.failures = {None: refused(), NEAR: ConnectionFailedError("no answer")}
+        self.assertFalse(await self.paths.has_ended(ENDPOINTS[0]))
+        self.failures[FAR] = TunnelRefusedError("failed", "connection_timeout")
+        self.assertFalse(await self.paths.has_ended(ENDPOINTS[0]))
+
     async def test_without_peers_a_refusal_counts(self) -> None:
         self.peers.clear()
         self.failures[None] = refused()
