Register an instance under a condition, and again when its entry goes

Cause: a renewal whose answer was lost led to a new lease and a write without a condition. A lost write that the store executes seconds later then put the entry under a lease that nobody renewed, and nothing compared the entry with the lease that was.

Change: the entry is written on the condition of its last known revision; a renewal without an answer is repeated with the same lease; an instance that sees its own entry go writes it again.

--- a/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
+++ b/packages/mastickeel_router/src/mastickeel_router/fleet/instances.py
@@ -13,7 +13,7 @@
 from mastickeel.decoding import decode_json
 from mastickeel.errors import StoreError
 from mastickeel.events import define_event
-from mastickeel.keyvalue import Put
+from mastickeel.keyvalue import Compare, Get, Put
 from mastickeel.logs import log
 from mastickeel_router.discovery.feeds import WatchHandler
 from mastickeel_router.fleet.broadcast import PeerTraits
@@ -118,8 +118,13 @@
         self._host = host
         self._traits = traits
         self._clock = clock
-        self._era_began = asyncio.Event()
-        store.era.on_change.append(lambda era: self._era_began.set())
+        self._lease: int | None = None
+        self._era: int | None = None
+        self._entry_revision = 0
+        self._is_registered = False
+        """Whether the store holds this instance's entry, as far as is known."""
+        self._changed = asyncio.Event()
+        store.era.on_change.append(lambda era: self._changed.set())
 
     @property
     def recent_peer_ids(self) -> tuple[str, ...]:
@@ -135,36 +140,49 @@
     async def keep_registered(self) -> None:
         """Writes this instance's entry and renews its lease until cancelled."""
         while True:
-            self._era_began.clear()
             try:
-                lease = await self._register()
-                while await self._store.keep_alive(lease) and not await self._wait_for_new_era():
-                    self.remove_expired()
+                await self._renew()
+                await self._wait_for_change()
             except StoreError as error:
                 log(NOT_REGISTERED, error=str(error))
-                self.remove_expired()
                 await self._clock.sleep(RETRY_INTERVAL_MS)
+            self.remove_expired()
 
-    async def _wait_for_new_era(self) -> bool:
-        """Waits for the next renewal; returns True early if the store has lost its newest writes.
+    async def _renew(self) -> None:
+        """Renews the lease, and writes the entry if the store does not hold it.
 
-        The entry may be among them, and the lease's id may be given to another instance.
+        A renewal whose answer is lost leaves the lease as it is, as it may have been executed.
         """
+        if self._changed.is_set():
+            self._changed.clear()
+            if self._era != self._store.era.number:
+                # The lease's id may have been given to another instance.
+                self._lease = None
+        if self._lease is not None and not await self._store.keep_alive(self._lease):
+            self._lease = None
+        if self._lease is None:
+            self._is_registered = False
+            self._lease = await self._store.grant(LEASE_TTL_SECONDS)
+            self._era = self._store.era.number
+        if not self._is_registered:
+            await self._write_entry(self._lease)
+
+    async def _wait_for_change(self) -> None:
+        """Waits for the next renewal, or until the store may have lost the entry."""
         try:
-            await self._clock.wait_for(self._era_began.wait(), RENEW_INTERVAL_MS)
+            await self._clock.wait_for(self._changed.wait(), RENEW_INTERVAL_MS)
         except TimeoutError:
-            return False
+            return
         await self._clock.sleep(
             xxhash.xxh3_64_intdigest(self._link.instance_id.encode()) % REGISTER_JITTER_MS
         )
-        return True
 
     def entry_handler(self) -> WatchHandler:
         """Returns the handler of the entries' keys in the store."""
         return WatchHandler(
             self._apply_all,
             self._apply_entry,
-            lambda key, revision: self._remove_entry(key),
+            self._remove_entry,
             self._begin_outage,
             self._end_outage,
         )
@@ -190,8 +208,12 @@
             for peer_id, until_ms in self._kept_until_ms.items()
         }
 
-    async def _register(self) -> int:
-        lease = await self._store.grant(LEASE_TTL_SECONDS)
+    async def _write_entry(self, lease: int) -> None:
+        """Writes this instance's entry, unless it is there already under the lease.
+
+        A write whose answer was lost may be executed later; its condition no longer holds once the
+        entry has been written again.
+        """
         address = f"{self._host}:{self._link.port}"
         key = f"{self.entries_prefix}{self._link.instance_id}"
         tunnels = f"{self._host}:{self.tunnels_port}" if self.tunnels_port else ""
@@ -202,15 +224,30 @@
             tunnels,
             self._traits.exchanges_changes,
         )
-        await self._store.txn((), (Put(key, msgspec.json.encode(entry), lease),))
+        put = Put(key, msgspec.json.encode(entry), lease)
+        while True:
+            unchanged = Compare(key, "MOD", self._entry_revision)
+            result = await self._store.txn((unchanged,), (put,), (Get(key),))
+            if result.succeeded:
+                self._entry_revision = result.revision
+                break
+            found = next((item for item in result.found if item.key == key), None)
+            self._entry_revision = found.mod_revision if found else 0
+            if found is not None and (found.lease, found.value) == (lease, put.value):
+                break
+        self._is_registered = True
         log(REGISTERED, address=address, lease=lease)
-        return lease
+
+    def _record_loss(self, revision: int) -> None:
+        """Records that the store does not hold this instance's entry as of a revision."""
+        if self._is_registered and revision > self._entry_revision:
+            self._is_registered = False
+            self._changed.set()
 
     def _apply_all(self, items: tuple[KeyValue, ...], revision: int) -> None:
         present = {item.key.removeprefix(self.entries_prefix) for item in items}
-        for peer_id in self._link.peer_ids:
-            if peer_id not in present:
-                self._remove_entry(f"{self.entries_prefix}{peer_id}")
+        for peer_id in {*self._link.peer_ids, self._link.instance_id} - present:
+            self._remove_entry(f"{self.entries_prefix}{peer_id}", revision)
         for item in items:
             self._apply_entry(item)
 
@@ -237,9 +274,12 @@
         if tunnels is not None:
             self.tunnels_by_peer[peer_id] = tunnels
 
-    def _remove_entry(self, key: str) -> None:
+    def _remove_entry(self, key: str, revision: int) -> None:
         """Removes a peer, unless its entry may have gone because the store lost the lease."""
         peer_id = key.removeprefix(self.entries_prefix)
+        if peer_id == self._link.instance_id:
+            self._record_loss(revision)
+            return
         now = self._clock.now()
         may_be_live = self._is_outage or now < self._grace_deadline_ms
         if may_be_live and peer_id in self._link.peer_ids:
--- a/tests/mastickeel_router/memorystore.py
+++ b/tests/mastickeel_router/memorystore.py
@@ -85,7 +85,9 @@
         for compare in compares:
             item = self._items.get(compare.key)
             if (item.mod_revision if item else 0) != compare.value:
-                return TxnResult(False, self._revision)
+                keys = [step.key for step in failure if isinstance(step, Get)]
+                found = tuple(self._items[key] for key in keys if key in self._items)
+                return TxnResult(False, self._revision, found)
         for operation in success:
             if isinstance(operation, Put):
                 self.put(operation.key, operation.value, operation.lease)
