Take the shares of a release from the part that a bad version may get

Cause: the shares were constants, chosen for versions that are bad from the start. The part that a bad version may get is stated by the deployment (0.15 on the sites, 0.0975 on the grown and large ones).

Change: the first share is 1.2 times that part, the second twice that part from 0.4 of the time, and never more than before; settings have [releases] exposure_share.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -59,6 +59,7 @@
 from mastickeel_router.relay.context import Context
 from mastickeel_router.relay.memory import AnswerMemory
 from mastickeel_router.releases import ReleaseOrder, Releases
+from mastickeel_router.releases.decision import ReleaseShares
 from mastickeel_router.routes import CallerLimits, RouteTable, RoutingConfiguration
 from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
 
@@ -202,6 +203,7 @@
             prefix=settings.store.prefix,
             clock=clock,
             session_gap_ms=settings.sessions.gap_ms,
+            shares=ReleaseShares.for_exposure(settings.releases.exposure_share),
             is_preferred=lambda: self._rank_of("releases") < PREFERRED_LEADERS,
         )
         """Releases under way; decide on which versions a request may run."""
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/settings.py
@@ -91,6 +91,14 @@
     """Maximum time between two requests of one session."""
 
 
+@dataclass(frozen=True)
+class ReleaseSettings:
+    """Limits on releases."""
+
+    exposure_share: float = 0.15
+    """Part of the requests of a release that a bad version may get."""
+
+
 @dataclass(frozen=True)
 class KnowledgeSettings:
     """Limits on what an instance may do by what it has read from the store."""
@@ -129,6 +137,7 @@
     repeats: RetryLimits = field(default_factory=RetryLimits)
     stop: StopSettings = field(default_factory=StopSettings)
     sessions: SessionSettings = field(default_factory=SessionSettings)
+    releases: ReleaseSettings = field(default_factory=ReleaseSettings)
     knowledge: KnowledgeSettings = field(default_factory=KnowledgeSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     memory: MemorySettings = field(default_factory=MemorySettings)
@@ -172,6 +181,9 @@
     ]
     if settings.peers is not None and settings.peers.link_mbps < 0:
         faults.append(f"settings.peers.link_mbps is {settings.peers.link_mbps}; write 0 or more")
+    if not 0 < settings.releases.exposure_share <= 1:
+        share = settings.releases.exposure_share
+        faults.append(f"settings.releases.exposure_share is {share}; write a number from 0 to 1")
     if settings.repeats.ratio < 0:
         faults.append(f"settings.repeats.ratio is {settings.repeats.ratio}; write 0 or more")
     if settings.stop.reserve_ms >= settings.stop.grace_ms:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from mastickeel_router.releases.model import ReleaseState
@@ -13,12 +13,15 @@
 
     from mastickeel_router.releases.model import ReleaseOrder, ReleasePlan
 
-FIRST_SHARE = 0.25
-"""Initial share of the target. Deployments allow a bad target 0.0975 to 0.15 of all requests of a
-release, so that it has to be found within the first part of the release."""
-SECOND_SHARE = 0.5
-"""Second share of the target: loads the endpoints of both versions alike while both are present."""
-SECOND_SHARE_FROM = 0.3
+FIRST_SHARE_FACTOR = 1.2
+"""Initial share of the target, as a multiple of the part of a release's requests that a bad target
+may get: one that turns bad halfway has then had two thirds of that part."""
+SECOND_SHARE_FACTOR = 2.0
+"""Second share of the target, as a multiple of the same part."""
+MAX_FIRST_SHARE = 0.25
+MAX_SECOND_SHARE = 0.5
+"""Share that loads the endpoints of both versions alike while both are present."""
+SECOND_SHARE_FROM = 0.4
 """Fraction of the release's duration after which the target gets its second share."""
 FULL_SHARE_FROM = 0.66
 """Fraction of the release's duration after which the target gets all requests."""
@@ -52,6 +55,22 @@
 ALL_ROUTES = ""
 
 
+@dataclass(frozen=True)
+class ReleaseShares:
+    """Shares of the target before it gets all requests."""
+
+    first: float = MAX_FIRST_SHARE
+    second: float = MAX_SECOND_SHARE
+
+    @classmethod
+    def for_exposure(cls, exposure: float) -> ReleaseShares:
+        """Returns the shares for the part of a release's requests that a bad target may get."""
+        return cls(
+            min(MAX_FIRST_SHARE, FIRST_SHARE_FACTOR * exposure),
+            min(MAX_SECOND_SHARE, SECOND_SHARE_FACTOR * exposure),
+        )
+
+
 class VersionComparison:
     """Sequential tests of the target against the old version, for each route and for all routes."""
 
@@ -104,7 +123,7 @@
         slow_by_route: dict[str, Block] | None = None,
         very_slow_by_route: dict[str, Block] | None = None,
         *,
-        share: float = FIRST_SHARE,
+        share: float = MAX_FIRST_SHARE,
     ) -> None:
         """Adds the totals over all instances; tests only the increase since the last call.
 
@@ -164,6 +183,7 @@
     plan: ReleasePlan,
     order: ReleaseOrder,
     *,
+    shares: ReleaseShares,
     elapsed_ms: float,
     answers: int,
     is_bad: bool,
@@ -175,6 +195,7 @@
     Args:
         plan: The current plan.
         order: The operator's order.
+        shares: Shares before the target gets all requests.
         elapsed_ms: Time since the order.
         answers: Number of the target's answers.
         is_bad: Whether the target is significantly worse than the old version.
@@ -188,13 +209,13 @@
         return replace(plan, state=ReleaseState.REVERTED, share=0.0)
     if plan.share >= 1.0 and progress >= COMPLETE_FROM and not is_held:
         return replace(plan, state=ReleaseState.COMPLETE)
-    share = plan.share or FIRST_SHARE
+    share = plan.share or shares.first
     may_widen = answers >= MIN_ANSWERS_TO_WIDEN and not is_suspect
     if may_widen and elapsed_ms - plan.widened_ms >= MIN_STEP * order.duration_ms:
-        if progress >= FULL_SHARE_FROM and share >= SECOND_SHARE:
+        if progress >= FULL_SHARE_FROM and share >= shares.second:
             share = 1.0
         elif progress >= SECOND_SHARE_FROM:
-            share = max(share, SECOND_SHARE)
+            share = max(share, shares.second)
     if share == plan.share:
         return plan
     return replace(plan, share=share, widened_ms=round(elapsed_ms))
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -17,7 +17,7 @@
 from mastickeel.logs import log
 from mastickeel_router.discovery.feeds import WatchHandler
 from mastickeel_router.duties import Duty, DutyTiming
-from mastickeel_router.releases.decision import VersionComparison, advance_plan
+from mastickeel_router.releases.decision import ReleaseShares, VersionComparison, advance_plan
 from mastickeel_router.releases.evidence import ReleaseEvidence, sum_reports
 from mastickeel_router.releases.model import (
     EvidenceReport,
@@ -99,6 +99,7 @@
         prefix: str,
         clock: Clock,
         session_gap_ms: int,
+        shares: ReleaseShares | None = None,
         is_preferred: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the state without any release.
@@ -109,6 +110,7 @@
             prefix: Prefix of the keys of plans and duties.
             clock: Times releases and sessions.
             session_gap_ms: Time after a request for which the version of its session is kept.
+            shares: Shares of a target before it gets all requests; None for the largest.
             is_preferred: Returns whether this instance is one of the first that should hold the
                 duty of leading releases.
         """
@@ -120,6 +122,7 @@
         self.on_report: list[Callable[[EvidenceReport], None]] = []
         """Callbacks for this instance's evidence reports, which are sent to its peers."""
         self._clock = clock
+        self._shares = shares or ReleaseShares()
         self._orders_by_service: dict[str, ReleaseOrder] = {}
         self._order_received_ms_by_service: dict[str, int] = {}
         self._ordered_while_running: set[str] = set()
@@ -478,6 +481,7 @@
         next_plan = advance_plan(
             replace(plan, began_wall_ms=began_wall_ms),
             order,
+            shares=self._shares,
             elapsed_ms=self._elapsed_ms(order, began_wall_ms),
             answers=comparison.answers,
             is_bad=comparison.is_bad,
--- a/tests/mastickeel_platform/test_settings_template.py
+++ b/tests/mastickeel_platform/test_settings_template.py
@@ -78,6 +78,10 @@
         self.assertEqual(self.render_bounds(session_s=8.5).sessions.gap_ms, 8_500)
         self.assertEqual(self.render_bounds(grace_s=7.25).stop.grace_ms, 7_250)
         self.assertEqual(self.render_bounds(retry_slack=156.5).repeats.slack, 156.5)
+
+    def test_exposure_of_the_deployment_is_a_constant(self) -> None:
+        self.assertEqual(self.render_bounds(exposure_share=0.0975).releases.exposure_share, 0.0975)
+        self.assertEqual(self.render_bounds().releases.exposure_share, 0.15)
         self.assertEqual(self.render_bounds(retry_ratio=1).repeats.ratio, 1.0)
 
     def test_retry_window_is_the_one_that_the_platform_names(self) -> None:
--- a/tests/mastickeel_router/releases/test_decision.py
+++ b/tests/mastickeel_router/releases/test_decision.py
@@ -7,12 +7,11 @@
 
 from mastickeel_router.releases.decision import (
     COMPLETE_FROM,
-    FIRST_SHARE,
     FULL_SHARE_FROM,
     LAST_MOMENT,
-    SECOND_SHARE,
     SECOND_SHARE_FROM,
     SUSPECT_EVIDENCE,
+    ReleaseShares,
     VersionComparison,
     advance_plan,
 )
@@ -28,6 +27,9 @@
 store."""
 ORDER = ReleaseOrder("s", "v2", 20_000, 5)
 PLAN = ReleasePlan("s", "v2", 5)
+EXPOSURES = (0.0975, 0.15)
+"""Parts of a release's requests that deployments allow a bad target."""
+SHARES = ReleaseShares.for_exposure(EXPOSURES[-1])
 
 
 def plan_at(
@@ -37,10 +39,12 @@
     bad: bool = False,
     suspect: bool = False,
     held: bool = False,
+    shares: ReleaseShares = SHARES,
 ) -> ReleasePlan:
     return advance_plan(
         plan,
         ORDER,
+        shares=shares,
         elapsed_ms=progress * ORDER.duration_ms,
         answers=answers,
         is_bad=bad,
@@ -60,12 +64,26 @@
 
 class AdvanceTest(unittest.TestCase):
     def test_share_grows_with_time(self) -> None:
-        self.assertEqual(lead_to(0.01).share, FIRST_SHARE)
-        self.assertEqual(lead_to(SECOND_SHARE_FROM).share, SECOND_SHARE)
+        self.assertEqual(lead_to(0.01).share, SHARES.first)
+        self.assertEqual(lead_to(SECOND_SHARE_FROM).share, SHARES.second)
         self.assertEqual(lead_to(FULL_SHARE_FROM).share, 1.0)
 
+    def test_target_that_turns_bad_halfway_has_had_more_than_its_part(self) -> None:
+        """Guards against a share that leaves nothing for the time until a bad target is found."""
+        steps = 200
+        for exposure in EXPOSURES:
+            plan, given = PLAN, 0.0
+            for step in range(steps // 2):
+                shares = ReleaseShares.for_exposure(exposure)
+                plan = plan_at(step / steps, plan=plan, shares=shares)
+                given += plan.share / steps
+            self.assertLess(given, 0.7 * exposure)
+
+    def test_share_is_not_above_that_of_the_endpoints(self) -> None:
+        self.assertEqual(ReleaseShares.for_exposure(1.0), ReleaseShares(0.25, 0.5))
+
     def test_late_holder_widens_the_share_step_by_step_and_completes_in_time(self) -> None:
-        self.assertEqual(lead_to(FULL_SHARE_FROM, start=FULL_SHARE_FROM).share, SECOND_SHARE)
+        self.assertEqual(lead_to(FULL_SHARE_FROM, start=FULL_SHARE_FROM).share, SHARES.second)
         late = lead_to(0.99, start=COMPLETE_FROM)
         self.assertIs(late.state, ReleaseState.COMPLETE)
 
@@ -78,15 +96,15 @@
         self.assertGreater(remaining_ms, 1_000 * DUTY_TIMING.ttl_seconds + STANDBY_MS)
 
     def test_share_stays_small_without_answers(self) -> None:
-        self.assertEqual(plan_at(0.95, answers=0).share, FIRST_SHARE)
+        self.assertEqual(plan_at(0.95, answers=0).share, SHARES.first)
         self.assertIs(plan_at(0.95, answers=0).state, ReleaseState.RUNNING)
 
     def test_share_is_not_widened_while_the_target_is_suspect(self) -> None:
         # A target that failed on one route got half of all requests after 8 answers.
         for progress in (SECOND_SHARE_FROM, FULL_SHARE_FROM, COMPLETE_FROM):
-            self.assertEqual(plan_at(progress, suspect=True).share, FIRST_SHARE)
+            self.assertEqual(plan_at(progress, suspect=True).share, SHARES.first)
         widened = plan_at(SECOND_SHARE_FROM)
-        self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened, suspect=True).share, SECOND_SHARE)
+        self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened, suspect=True).share, SHARES.second)
         self.assertEqual(plan_at(FULL_SHARE_FROM, plan=widened).share, 1.0)
 
     def test_release_with_much_evidence_is_not_completed_and_reverted_at_its_end(self) -> None:
