Warm the endpoints of a release's target before they get all requests

Change: the target gets half of the requests from 0.55 of the time. A version that turns bad halfway is under suspicion by then and keeps its share.

--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -19,10 +19,13 @@
 SECOND_SHARE_FACTOR = 2.0
 """Second share of the target, as a multiple of the same part."""
 MAX_FIRST_SHARE = 0.25
-MAX_SECOND_SHARE = 0.5
-"""Share that loads the endpoints of both versions alike while both are present."""
+THIRD_SHARE = 0.5
+"""Third share of the target: loads the endpoints of both versions alike while both are present, and
+fills the caches of the target's endpoints before they get all requests."""
 SECOND_SHARE_FROM = 0.4
 """Fraction of the release's duration after which the target gets its second share."""
+THIRD_SHARE_FROM = 0.55
+"""Fraction of the release's duration after which the target gets its third share."""
 FULL_SHARE_FROM = 0.66
 """Fraction of the release's duration after which the target gets all requests."""
 COMPLETE_FROM = 0.86
@@ -57,17 +60,17 @@
 
 @dataclass(frozen=True)
 class ReleaseShares:
-    """Shares of the target before it gets all requests."""
+    """First shares of the target."""
 
     first: float = MAX_FIRST_SHARE
-    second: float = MAX_SECOND_SHARE
+    second: float = THIRD_SHARE
 
     @classmethod
     def for_exposure(cls, exposure: float) -> ReleaseShares:
         """Returns the shares for the part of a release's requests that a bad target may get."""
         return cls(
             min(MAX_FIRST_SHARE, FIRST_SHARE_FACTOR * exposure),
-            min(MAX_SECOND_SHARE, SECOND_SHARE_FACTOR * exposure),
+            min(THIRD_SHARE, SECOND_SHARE_FACTOR * exposure),
         )
 
 
@@ -195,7 +198,7 @@
     Args:
         plan: The current plan.
         order: The operator's order.
-        shares: Shares before the target gets all requests.
+        shares: First shares of the target.
         elapsed_ms: Time since the order.
         answers: Number of the target's answers.
         is_bad: Whether the target is significantly worse than the old version.
@@ -214,6 +217,8 @@
     if may_widen and elapsed_ms - plan.widened_ms >= MIN_STEP * order.duration_ms:
         if progress >= FULL_SHARE_FROM and share >= shares.second:
             share = 1.0
+        elif progress >= THIRD_SHARE_FROM and share >= shares.second:
+            share = max(share, THIRD_SHARE)
         elif progress >= SECOND_SHARE_FROM:
             share = max(share, shares.second)
     if share == plan.share:
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -110,7 +110,7 @@
             prefix: Prefix of the keys of plans and duties.
             clock: Times releases and sessions.
             session_gap_ms: Time after a request for which the version of its session is kept.
-            shares: Shares of a target before it gets all requests; None for the largest.
+            shares: First shares of a target; None for the largest.
             is_preferred: Returns whether this instance is one of the first that should hold the
                 duty of leading releases.
         """
--- a/tests/mastickeel_router/releases/test_decision.py
+++ b/tests/mastickeel_router/releases/test_decision.py
@@ -11,6 +11,8 @@
     LAST_MOMENT,
     SECOND_SHARE_FROM,
     SUSPECT_EVIDENCE,
+    THIRD_SHARE,
+    THIRD_SHARE_FROM,
     ReleaseShares,
     VersionComparison,
     advance_plan,
@@ -66,6 +68,7 @@
     def test_share_grows_with_time(self) -> None:
         self.assertEqual(lead_to(0.01).share, SHARES.first)
         self.assertEqual(lead_to(SECOND_SHARE_FROM).share, SHARES.second)
+        self.assertEqual(lead_to(THIRD_SHARE_FROM).share, THIRD_SHARE)
         self.assertEqual(lead_to(FULL_SHARE_FROM).share, 1.0)
 
     def test_target_that_turns_bad_halfway_has_had_more_than_its_part(self) -> None:
