Apply a changed exposure of releases without a restart

The shares of a release were taken from the settings at the start only, though changed settings take hold after SIGHUP or within a second. They are set again with each change of the settings now. test_changed_exposure_takes_hold_after_a_restart_only covers it.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -327,6 +327,7 @@
         self.settings = settings
         self.budget.limits = settings.repeats
         self.releases.sessions.gap_ms = settings.sessions.gap_ms
+        self.releases.shares = ReleaseShares.for_exposure(settings.releases.exposure_share)
 
     async def drain(self) -> None:
         """Ends readiness, then stops accepting connections and waits for open requests.
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -122,7 +122,8 @@
         self.on_report: list[Callable[[EvidenceReport], None]] = []
         """Callbacks for this instance's evidence reports, which are sent to its peers."""
         self._clock = clock
-        self._shares = shares or ReleaseShares()
+        self.shares = shares or ReleaseShares()
+        """First shares of a target."""
         self._orders_by_service: dict[str, ReleaseOrder] = {}
         self._order_received_ms_by_service: dict[str, int] = {}
         self._ordered_while_running: set[str] = set()
@@ -481,7 +482,7 @@
         next_plan = advance_plan(
             replace(plan, began_wall_ms=began_wall_ms),
             order,
-            shares=self._shares,
+            shares=self.shares,
             elapsed_ms=self._elapsed_ms(order, began_wall_ms),
             answers=comparison.answers,
             is_bad=comparison.is_bad,
--- a/tests/mastickeel_platform/test_releases.py
+++ b/tests/mastickeel_platform/test_releases.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
+from mastickeel_router.gateway.settings import ReleaseSettings
 from tests.mastickeel_platform.gateway_case import GatewayTestCase
 from tests.mastickeel_platform.standins import Request, answer_bytes
 
@@ -44,6 +46,13 @@
             await asyncio.sleep(REQUEST_INTERVAL_S)
         raise AssertionError(f"the release is {self.release_state()!r}")
 
+    async def test_changed_exposure_takes_hold_after_a_restart_only(self) -> None:
+        for exposure, shares in ((0.0975, (0.117, 0.195)), (0.15, (0.18, 0.3))):
+            releases = ReleaseSettings(exposure)
+            self.gateway.apply_settings(replace(self.gateway.settings, releases=releases))
+            found = self.gateway.releases.shares
+            self.assertEqual((round(found.first, 4), round(found.second, 4)), shares)
+
     async def test_good_version_takes_over(self) -> None:
         await self.start_release(respond, 4)
         await self.send_until({"complete"})
