--- a/tests/mastickeel_platform/test_begun_streams.py
+++ b/tests/mastickeel_platform/test_begun_streams.py
@@ -196,6 +196,18 @@
             for path in ("/draft/a", "/third/a"):
                 await self.check(path, Failure("200 OK", body, "chunked", True), "reset")
 
+    async def test_begun_stream_brings_an_event_twice_or_out_of_order(self) -> None:
+        """Guards against ids that repeat: those passed on before, and those within one answer."""
+        events = {number: event_bytes(number) for number in range(EVENTS + 2)}
+        orders = {(1, 2, 3, 4): True, (2, 3, 3, 4, 4): True, (3, 2, 4): True, (4, 3): False}
+        for order, is_complete in orders.items():
+            body = b"".join(events[number] for number in order)
+            reply = await self.send("/draft/a", Failure("200 OK", body, "chunked", True))
+            with self.subTest(order=order):
+                expected = [1, 2, 3, 4] if is_complete else [1, 2]
+                self.assertEqual(reply.body, b"".join(events[number] for number in expected))
+                self.assertEqual(reply.complete, is_complete)
+
     async def test_comment_inside_a_stream_is_passed_on(self) -> None:
         rest = b": waiting\n\n" + event_bytes(3) + event_bytes(4)
         reply = await self.send("/draft/a", Failure("200 OK", rest, "chunked", True))
--- a/tests/mastickeel_platform/test_odd_entries.py
+++ b/tests/mastickeel_platform/test_odd_entries.py
@@ -15,7 +15,7 @@
 from mastickeel_platform.configuration import read_entry
 from mastickeel_platform.orders import read_order
 from tests.mastickeel_platform.gateway_case import FleetTestCase, GatewayTestCase
-from tests.mastickeel_platform.standins import Request, answer_bytes, entry
+from tests.mastickeel_platform.standins import Request, Responder, answer_bytes, entry
 from tests.mastickeel_platform.test_unusable_configuration import VALUES
 
 if TYPE_CHECKING:
@@ -121,6 +121,41 @@
         self.assertEqual(set(statuses), {200})
 
 
+class RepeatedEntryTest(GatewayTestCase):
+    async def test_entry_with_the_address_of_another_takes_its_requests(self) -> None:
+        """Guards against entries that repeat an address under another id, service or start."""
+        await self.start_gateway(self.respond_as("i-1"), self.respond_as("i-2"))
+        address = f"127.0.0.1:{self.endpoints[0].port}"
+        for number, changes in enumerate(
+            ({}, {"service": "other"}, {"born": 5}, {"state": "draining"}, {"zone": "dc-b"})
+        ):
+            self.store.put(f"servers/copy-{number}", entry(1) | {"address": address} | changes)
+        # A field that is given twice counts with its last value.
+        whole = json.dumps(entry(1) | {"address": address}).encode()
+        self.store.put("servers/copy-9", b'{"slots": [],' + whole[1:])
+        self.store.put("servers/copy-10", whole[:-1] + b', "state": 7}')
+        await self.wait_until(lambda: self.gateway.registry.get("copy-4") is not None)
+        await self.wait_until(lambda: len(self.store.calls) > 3)
+        self.assertIsNone(self.gateway.registry.get("copy-10"))
+        for number in range(40):
+            reply = await self.send_request("/look/a", f"a{number}")
+            self.assertEqual((reply.status, reply.body), (200, b"done"))
+
+    def respond_as(self, endpoint_id: str) -> Responder:
+        """Returns the responder of an endpoint that answers only under its own id."""
+
+        async def respond_named(request: Request, writer: asyncio.StreamWriter) -> None:
+            if request.headers["expect-instance"] == endpoint_id:
+                writer.write(answer_bytes(request))
+            else:
+                refusal = answer_bytes(
+                    request, status="421 Misdirected Request", extra="Not-Executed: 1"
+                )
+                writer.write(refusal)
+
+        return respond_named
+
+
 class OddInstanceTest(FleetTestCase):
     async def test_odd_instance_ends_the_exchange_with_peers(self) -> None:
         """Guards against peers that no longer hear of changes beside an odd entry of one."""
