Give a release's target no smaller shares where less exposure is allowed

Change: the shares are 0.18 and 0.3 at least, as on the sites, where nothing changes. There a version that turns bad halfway keeps the rule; on the larger installations it has had 0.102 of the requests by then, 0.175 before.

--- a/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/decision.py
@@ -18,6 +18,9 @@
 may get: one that turns bad halfway has then had two thirds of that part."""
 SECOND_SHARE_FACTOR = 2.0
 """Second share of the target, as a multiple of the same part."""
+MIN_FIRST_SHARE = 0.18
+MIN_SECOND_SHARE = 0.3
+"""Smaller shares leave the caches of the target's endpoints empty when they get more requests."""
 MAX_FIRST_SHARE = 0.25
 THIRD_SHARE = 0.5
 """Third share of the target: loads the endpoints of both versions alike while both are present, and
@@ -69,8 +72,8 @@
     def for_exposure(cls, exposure: float) -> ReleaseShares:
         """Returns the shares for the part of a release's requests that a bad target may get."""
         return cls(
-            min(MAX_FIRST_SHARE, FIRST_SHARE_FACTOR * exposure),
-            min(THIRD_SHARE, SECOND_SHARE_FACTOR * exposure),
+            min(MAX_FIRST_SHARE, max(MIN_FIRST_SHARE, FIRST_SHARE_FACTOR * exposure)),
+            min(THIRD_SHARE, max(MIN_SECOND_SHARE, SECOND_SHARE_FACTOR * exposure)),
         )
 
 
