--- a/review/bed/case.py
+++ b/review/bed_case.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from bed.clients import HOST, KEY, Clients
-from bed.gateways import Fleet, draw_host
-from bed.store import Store
+from bed_clients import HOST, KEY, Clients
+from bed_gateways import Fleet, draw_host
+from bed_store import Store
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/review/bed/clients.py
+++ b/review/bed_clients.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from bed.http import read_message, write_message
+from bed_http import read_message, write_message
 
 if TYPE_CHECKING:
-    from bed.gateways import Fleet, Gateway
+    from bed_gateways import Fleet, Gateway
 
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
--- a/review/bed/gateways.py
+++ b/review/bed_gateways.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 CONTACT_S = 3.0
 RESTART_S = 0.5
 """Delay after which the platform starts a process again that has ended."""
--- a/review/bed/releases.py
+++ b/review/bed_releases.py
@@ -7,13 +7,13 @@
 import time
 from typing import TYPE_CHECKING
 
-from bed.gateways import BOUNDS
-from bed.workers import WORK_S, Worker
+from bed_gateways import BOUNDS
+from bed_workers import WORK_S, Worker
 
 if TYPE_CHECKING:
-    from bed.case import Bed
-    from bed.clients import Clients
-    from bed.http import Message
+    from bed_case import Bed
+    from bed_clients import Clients
+    from bed_http import Message
 
 DRAINS_AFTER_S = 3.0
 """Time after `reverted` at which the new workers drain: some seconds, by the page."""
--- a/review/bed/store.py
+++ b/review/bed_store.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from bed.http import Message, Server, read_message, write_message
+from bed_http import Message, Server, read_message, write_message
 
 ANSWER_S = 0.004
 PAGE_ITEMS = 500
--- a/review/bed/workers.py
+++ b/review/bed_workers.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from bed.http import Message, Server, read_message, write_message
+from bed_http import Message, Server, read_message, write_message
 
 if TYPE_CHECKING:
-    from bed.case import Bed
+    from bed_case import Bed
 
 WORK_S = 0.045
 """Work of a plain request, as on the sheets."""
@@ -49,6 +49,7 @@
 
     @property
     def key(self) -> str:
+        """Key of the worker in the store."""
         return f"servers/{self.id}"
 
     async def start(self) -> None:
