Refuse answers whose status is below 100 or above 599

Cause: nothing says what a valid head is. tornado and httptools take any three digits, HttpHead is built from them unchecked, and classify_answer passes on what is neither a success nor a promise.

Why it works: accept_head is the one place that decides, and both readers build heads with it alone. An invalid one is a broken exchange: it is logged, counts against the endpoint, and is sent again only where the route allows it. Whatever uses the readers gets it: the door, streams, resumed ones, tunnels, the store, load reports, ratings and plain services of the own interface.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -27,7 +27,6 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mastickeel.httpmessages import (
-    INFORMATIONAL_STATUSES,
     AnswerTooLargeError,
     BodyFraming,
     ConnectionEnd,
@@ -40,6 +39,7 @@
     HttpRequest,
     Timeouts,
     TunnelRefusedError,
+    accept_head,
 )
 
 if TYPE_CHECKING:
@@ -162,6 +162,7 @@
         Raises:
             ExchangeBrokenError: When the connection ends before the answer is complete.
             ExchangeTimeoutError: When a timeout expires.
+            InvalidHeadError: When the head of an answer is not valid.
 
         Informational (1xx) answers are skipped. ``on_head`` may raise ``ForeignAnswerError``: that
         answer is skipped too, and the next answer on the connection is used instead.
@@ -252,12 +253,16 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code in INFORMATIONAL_STATUSES:
-            return None
+        status = start_line.code
+        return self._call_handler(lambda: self._receive_head(accept_head(status, headers)))
+
+    def _receive_head(self, head: HttpHead | None) -> None:
+        """Passes the head of an answer on; does nothing for an interim one."""
+        if head is None:
+            return
         self._extend_deadline()
-        head = HttpHead(start_line.code, headers)
         self.framing = head.framing if self._has_body else BodyFraming.NONE
-        return self._call_handler(lambda: self._on_head(head))
+        self._on_head(head)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._extend_deadline()
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT_MS = 2_000
 FIRST_BYTE_TIMEOUT_MS = 30_000
 BETWEEN_BYTES_TIMEOUT_MS = 15_000
+VALID_STATUSES = range(100, 600)
 INFORMATIONAL_STATUSES = range(100, 200)
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -89,6 +90,14 @@
     ran = ExecutionStatus.UNKNOWN
 
 
+class InvalidHeadError(ExchangeBrokenError):
+    """Raised when the head of an answer is none that HTTP allows."""
+
+    code = "invalid_head"
+    title = "The head of the answer is not valid."
+    remedy = "Check the server: what it has sent is no answer in HTTP/1."
+
+
 class ForeignAnswerError(MastickeelError):
     """Raised by ``on_head`` for an answer that belongs to another request and is skipped."""
 
@@ -145,6 +154,24 @@
         return BodyFraming.CONNECTION
 
 
+def accept_head(status: int, headers: HTTPHeaders) -> HttpHead | None:
+    """Returns the head of an answer, or None for that of an interim one, which is skipped.
+
+    Whatever reads an answer decides here whether its head is valid. ``HTTPHeaders`` has checked the
+    names and values of the fields.
+
+    Args:
+        status: The status, of three digits.
+        headers: The fields of the head.
+
+    Raises:
+        InvalidHeadError: When the head is not valid, so that nothing of the answer may be used.
+    """
+    if status not in VALID_STATUSES:
+        raise InvalidHeadError(f"The status is {status:03}.")
+    return None if status in INFORMATIONAL_STATUSES else HttpHead(status, headers)
+
+
 @dataclass(frozen=True)
 class HttpAnswer:
     """A complete HTTP answer."""
--- a/packages/mastickeel/src/mastickeel/streaming.py
+++ b/packages/mastickeel/src/mastickeel/streaming.py
@@ -15,12 +15,12 @@
 
 from mastickeel.httpclient import HEADER_LIMIT_BYTES, configure_socket
 from mastickeel.httpmessages import (
-    INFORMATIONAL_STATUSES,
     BodyFraming,
     ConnectionFailedError,
     ExchangeBrokenError,
     ExchangeTimeoutError,
-    HttpHead,
+    InvalidHeadError,
+    accept_head,
 )
 
 if TYPE_CHECKING:
@@ -28,7 +28,7 @@
 
     from mastickeel.addresses import Address
     from mastickeel.httpclient import HttpClient
-    from mastickeel.httpmessages import HttpRequest, Timeouts
+    from mastickeel.httpmessages import HttpHead, HttpRequest, Timeouts
 
 END_OF_HEAD = b"\r\n\r\n"
 
@@ -42,6 +42,7 @@
         self.ended = False
         """Whether the body is complete, by its length or last chunk."""
         self._parser = httptools.HttpResponseParser(self)
+        self._error: InvalidHeadError | None = None
         self._headers = HTTPHeaders()
         self._head_bytes = 0
         self._body: list[bytes] = []
@@ -57,6 +58,7 @@
         """Parses received data and returns the part of the body that it contains.
 
         Raises:
+            InvalidHeadError: When the head is not valid.
             ValueError: When the data is not HTTP, or the headers are larger than the limit.
         """
         if self.head is None:
@@ -64,6 +66,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
+            if self._error is not None:
+                raise self._error from error
             # Data after the end of the answer is ignored: the connection is closed.
             if not self.ended:
                 raise ValueError(str(error)) from error
@@ -79,11 +83,16 @@
 
     def on_headers_complete(self) -> None:
         """Stores status and headers; skips informational (1xx) answers."""
-        status = self._parser.get_status_code()
-        if status in INFORMATIONAL_STATUSES:
+        if self.ended:
+            return
+        try:
+            self.head = accept_head(self._parser.get_status_code(), self._headers)
+        except InvalidHeadError as error:
+            # The parser raises an error of its own for one of a callback.
+            self._error = error
+            raise
+        if self.head is None:
             self._headers = HTTPHeaders()
-        elif not self.ended:
-            self.head = HttpHead(status, self._headers)
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
@@ -145,6 +154,7 @@
             ConnectionFailedError: When no connection could be made.
             ExchangeBrokenError: When the connection ends before the answer is complete.
             ExchangeTimeoutError: When a timeout expires.
+            InvalidHeadError: When the head of the answer is not valid.
         """
         await self._connect(address)
         try:
--- /dev/null
+++ b/tests/mastickeel/test_heads.py
@@ -0,0 +1,60 @@
+"""An answer whose head is not valid is no answer, whichever reader reads it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+
+from mastickeel.httpmessages import HttpRequest, InvalidHeadError
+from tests.readers import ReadAnswer, ReaderCase
+
+if TYPE_CHECKING:
+    import socket
+
+REQUEST = HttpRequest("GET", "/")
+
+
+def head_bytes(*fields: str, line: str = "HTTP/1.1 200 OK") -> bytes:
+    """Returns the head of an answer whose body has four bytes."""
+    return "\r\n".join((line, "Content-Length: 4", *fields)).encode("latin1") + b"\r\n\r\n"
+
+
+class HeadCase(ReaderCase):
+    """A server that answers with given bytes and closes."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.data = b""
+        self.address = await self.serve(self.play)
+
+    async def play(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.sock_recv(sock, 4_096)
+        await loop.sock_sendall(sock, self.data)
+        sock.close()
+
+
+class StatusTest(HeadCase):
+    """Statuses are three digits from 100 to 599."""
+
+    async def test_status_out_of_range_is_no_answer(self) -> None:
+        for status in ("000", "001", "099", "600", "999"):
+            self.data = head_bytes(line=f"HTTP/1.1 {status} OK") + b"body"
+            for read in self.readers:
+                with (
+                    self.subTest(read.__name__, status=status),
+                    self.assertRaises(InvalidHeadError),
+                ):
+                    await read(self.address, REQUEST)
+
+    async def test_every_status_in_range_is_an_answer(self) -> None:
+        for status in (200, 299, 404, 429, 500, 599):
+            self.data = head_bytes(line=f"HTTP/1.1 {status} X") + b"body"
+            for read in self.readers:
+                with self.subTest(read.__name__, status=status):
+                    self.assertEqual(await read(self.address, REQUEST), ReadAnswer(status, b"body"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mastickeel_platform/test_broken_answers.py
@@ -0,0 +1,91 @@
+"""Answers that are no answers in the protocol never reach callers (issue 66)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from tests.mastickeel_platform.gateway_case import GatewayTestCase
+from tests.mastickeel_platform.standins import (
+    Request,
+    answer_bytes,
+    chunk_bytes,
+    event_bytes,
+    route,
+    stream_head_bytes,
+)
+
+INVALID_STATUSES = ("000", "099", "600", "999")
+
+
+class BrokenAnswerTest(GatewayTestCase):
+    """The first endpoint that is chosen sends a broken answer, every other one a whole answer."""
+
+    ROUTES = (*GatewayTestCase.ROUTES, route("fixed", "streaming", resumable=False))
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.broken = b""
+        """The broken answer."""
+        self.broken_ids: set[str] = set()
+        """Requests that have got it."""
+
+    async def respond(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        """Answers the first send of a request with the broken answer, and any later one whole."""
+        if request.id in self.broken_ids:
+            writer.write(
+                answer_bytes(request, event_bytes(1), extra="Content-Type: text/event-stream")
+            )
+            return
+        self.broken_ids.add(request.id)
+        writer.write(self.broken.replace(b"{id}", request.id.encode()))
+        await writer.drain()
+        writer.close()
+
+    def set_broken(self, status: str) -> None:
+        fields = "Attempt-Id: {id}\r\nServer-Seal: s\r\nContent-Type: text/event-stream"
+        body = event_bytes(7)
+        head = f"HTTP/1.1 {status} OK\r\n{fields}\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.broken = head.encode() + body
+
+    async def test_status_out_of_range_is_a_failed_send(self) -> None:
+        await self.start_gateway(*[self.respond] * 3)
+        for status in INVALID_STATUSES:
+            self.set_broken(status)
+            for path in ("/look/a", "/draft/a"):
+                with self.subTest(path, status=status):
+                    reply = await self.send_request(path, f"{path[1]}{status}")
+                    self.assertEqual((reply.status, reply.body), (200, event_bytes(1)))
+            for path in ("/once/a", "/fixed/a"):
+                with self.subTest(path, status=status):
+                    reply = await self.send_request(path, f"{path[1]}{status}")
+                    self.assertEqual(reply.status, 502)
+                    self.assertNotIn("server-seal", reply.headers)
+                    self.assertEqual(json.loads(reply.body)["ran"], "unknown")
+
+    async def test_status_out_of_range_does_not_end_a_resumed_stream(self) -> None:
+        """The first send breaks off after an event, the second one has the status."""
+
+        async def respond(request: Request, writer: asyncio.StreamWriter) -> None:
+            after = int(request.headers.get("last-event-id", "0"))
+            if not after:
+                writer.write(stream_head_bytes(request) + chunk_bytes(event_bytes(1)))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.close()
+            elif len(self.received_requests()) == 2:
+                self.set_broken("000")
+                await self.respond(request, writer)
+            else:
+                rest = event_bytes(2)
+                writer.write(answer_bytes(request, rest, extra="Content-Type: text/event-stream"))
+
+        await self.start_gateway(*[respond] * 3)
+        reply = await self.send_request("/draft/a")
+        self.assertTrue(reply.complete)
+        self.assertEqual(reply.body, event_bytes(1) + event_bytes(2))
+
+
+if __name__ == "__main__":
+    unittest.main()
