Refuse answers that switch to another protocol

Callers saw: after a 101 that nobody had requested, the bytes behind it as the answer; on the own interface a request that failed with an error of the parsing library (HttpParserUpgrade), which has neither a code nor a remedy.

Cause: every status from 100 to 199 counts as interim and is skipped, also the one after which the connection no longer carries HTTP.

Evidence: test_switch_to_a_protocol_that_was_not_requested_is_no_answer, once delivered by HttpClient and once HttpParserUpgrade from StreamedExchange on the code before.

Why it works: accept_head refuses the status before either reader looks at what follows it.

Measured: test_heads passes.

--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -19,6 +19,7 @@
 BETWEEN_BYTES_TIMEOUT_MS = 15_000
 VALID_STATUSES = range(100, 600)
 INFORMATIONAL_STATUSES = range(100, 200)
+SWITCHING_PROTOCOLS = 101
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -169,6 +170,8 @@
     """
     if status not in VALID_STATUSES:
         raise InvalidHeadError(f"The status is {status:03}.")
+    if status == SWITCHING_PROTOCOLS:
+        raise InvalidHeadError("It switches to a protocol that was not requested.")
     return None if status in INFORMATIONAL_STATUSES else HttpHead(status, headers)
 
 
--- a/tests/mastickeel/test_heads.py
+++ b/tests/mastickeel/test_heads.py
@@ -56,5 +56,16 @@
                     self.assertEqual(await read(self.address, REQUEST), ReadAnswer(status, b"body"))
 
 
+class ProtocolTest(HeadCase):
+    """Heads of another protocol than HTTP/1."""
+
+    async def test_switch_to_a_protocol_that_was_not_requested_is_no_answer(self) -> None:
+        switch = b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+        self.data = switch + head_bytes() + b"body"
+        for read in self.readers:
+            with self.subTest(read.__name__), self.assertRaises(InvalidHeadError):
+                await read(self.address, REQUEST)
+
+
 if __name__ == "__main__":
     unittest.main()
