Refuse answers in another version of HTTP in both readers

Callers saw, on the own interface: an answer that said HTTP/0.9 or HTTP/2.0, as if it were one in HTTP/1.1. At the platform's door tornado refuses it.

Cause: httptools also takes these versions, and StreamedExchange did not look at the version.

Why it works: accept_head, which both readers call, refuses what is not HTTP/1.

Measured: test_heads passes.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -253,8 +253,10 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
-        status = start_line.code
-        return self._call_handler(lambda: self._receive_head(accept_head(status, headers)))
+        line = start_line
+        return self._call_handler(
+            lambda: self._receive_head(accept_head(line.version, line.code, headers))
+        )
 
     def _receive_head(self, head: HttpHead | None) -> None:
         """Passes the head of an answer on; does nothing for an interim one."""
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT_MS = 2_000
 FIRST_BYTE_TIMEOUT_MS = 30_000
 BETWEEN_BYTES_TIMEOUT_MS = 15_000
+VERSION_PREFIX = "HTTP/1."
 VALID_STATUSES = range(100, 600)
 INFORMATIONAL_STATUSES = range(100, 200)
 SWITCHING_PROTOCOLS = 101
@@ -155,19 +156,22 @@
         return BodyFraming.CONNECTION
 
 
-def accept_head(status: int, headers: HTTPHeaders) -> HttpHead | None:
+def accept_head(version: str, status: int, headers: HTTPHeaders) -> HttpHead | None:
     """Returns the head of an answer, or None for that of an interim one, which is skipped.
 
     Whatever reads an answer decides here whether its head is valid. ``HTTPHeaders`` has checked the
     names and values of the fields.
 
     Args:
+        version: The protocol's name and version, such as `HTTP/1.1`.
         status: The status, of three digits.
         headers: The fields of the head.
 
     Raises:
         InvalidHeadError: When the head is not valid, so that nothing of the answer may be used.
     """
+    if not version.startswith(VERSION_PREFIX):
+        raise InvalidHeadError(f"The protocol is {version}.")
     if status not in VALID_STATUSES:
         raise InvalidHeadError(f"The status is {status:03}.")
     if status == SWITCHING_PROTOCOLS:
--- a/packages/mastickeel/src/mastickeel/streaming.py
+++ b/packages/mastickeel/src/mastickeel/streaming.py
@@ -85,8 +85,9 @@
         """Stores status and headers; skips informational (1xx) answers."""
         if self.ended:
             return
+        version = f"HTTP/{self._parser.get_http_version()}"
         try:
-            self.head = accept_head(self._parser.get_status_code(), self._headers)
+            self.head = accept_head(version, self._parser.get_status_code(), self._headers)
         except InvalidHeadError as error:
             # The parser raises an error of its own for one of a callback.
             self._error = error
--- a/tests/mastickeel/test_heads.py
+++ b/tests/mastickeel/test_heads.py
@@ -6,7 +6,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from mastickeel.httpmessages import HttpRequest, InvalidHeadError
+from mastickeel.httpmessages import ExchangeBrokenError, HttpRequest, InvalidHeadError
 from tests.readers import ReadAnswer, ReaderCase
 
 if TYPE_CHECKING:
@@ -66,6 +66,16 @@
             with self.subTest(read.__name__), self.assertRaises(InvalidHeadError):
                 await read(self.address, REQUEST)
 
+    async def test_other_version_of_http_is_no_answer(self) -> None:
+        for version in ("HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "http/1.1", "ICY"):
+            self.data = head_bytes(line=f"{version} 200 OK") + b"body"
+            for read in self.readers:
+                with (
+                    self.subTest(read.__name__, version=version),
+                    self.assertRaises(ExchangeBrokenError),
+                ):
+                    await read(self.address, REQUEST)
+
 
 if __name__ == "__main__":
     unittest.main()
