Check the head of another instance's answer to CONNECT

Callers saw: nothing of their own; by the tests, a request whose instance has lost its path was sent through a connection that had answered "no 200 answer" or a head with a control byte in a name, and a request failed with an untyped error (HTTPInputError) where the refusal of a tunnel had such a name.

Cause: the head was read by hand: its second word was compared with 200, and the fields were parsed outside of the block that turns errors into ConnectionFailedError.

Evidence: test_broken_answer_opens_no_tunnel failed four times and had the untyped error once on the code before.

Why it works: parse_head reads it with the same check as the answers of endpoints. Nothing has been sent through the tunnel by then, so the request goes to another peer, or counts as not reached.

Measured: test_heads, test_tunnels, test_paths and test_cut_instances pass.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -37,9 +37,11 @@
     HttpAnswer,
     HttpHead,
     HttpRequest,
+    InvalidHeadError,
     Timeouts,
     TunnelRefusedError,
     accept_head,
+    parse_head,
 )
 
 if TYPE_CHECKING:
@@ -440,7 +442,7 @@
             if via is not None:
                 left_ms = timeout_ms - (self.clock.now() - begin_ms)
                 await self._request_tunnel(stream, address, left_ms)
-        except (OSError, StreamClosedError, TimeoutError) as error:
+        except (OSError, StreamClosedError, TimeoutError, InvalidHeadError) as error:
             failure = ConnectionFailedError(f"No connection to {via or address}: {error}.")
             reason = error.real_error if isinstance(error, StreamClosedError) else error
             failure.refused = via is None and isinstance(reason, ConnectionRefusedError)
@@ -458,16 +460,15 @@
         try:
             await stream.write(f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
             reading = stream.read_until(b"\r\n\r\n", max_bytes=HEADER_LIMIT_BYTES)
-            head = (await self.clock.wait_for(reading, timeout_ms)).decode("latin1")
+            head = parse_head(await self.clock.wait_for(reading, timeout_ms))
         except BaseException:
             stream.close()
             raise
-        line, _, fields = head.partition("\r\n")
-        if line.split(" ")[1:2] == ["200"]:
+        if head is not None and head.status == 200:
             return
         stream.close()
-        status = HTTPHeaders.parse(fields).get("Proxy-Status", "")
-        detail = f"No tunnel to {address}: {line}; {status}."
+        status = head.headers.get("Proxy-Status", "") if head is not None else ""
+        detail = f"No tunnel to {address}: status {head.status if head else 0}; {status}."
         raise TunnelRefusedError(detail, status.partition("error=")[2])
 
     async def _open(self, address: Address, timeout_ms: float) -> IOStream:
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -7,13 +7,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from tornado.httputil import HTTPHeaders, HTTPInputError, parse_response_start_line
+
 from mastickeel.errors import ExecutionStatus, MastickeelError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from tornado.httputil import HTTPHeaders
-
 CONNECT_TIMEOUT_MS = 2_000
 FIRST_BYTE_TIMEOUT_MS = 30_000
 BETWEEN_BYTES_TIMEOUT_MS = 15_000
@@ -179,6 +179,21 @@
     return None if status in INFORMATIONAL_STATUSES else HttpHead(status, headers)
 
 
+def parse_head(data: bytes) -> HttpHead | None:
+    """Parses the head of an answer, up to its blank line; returns None for that of an interim one.
+
+    Raises:
+        InvalidHeadError: When the head is not valid.
+    """
+    line, _, fields = data.decode("latin1").partition("\r\n")
+    try:
+        start = parse_response_start_line(line)
+        headers = HTTPHeaders.parse(fields)
+    except HTTPInputError as error:
+        raise InvalidHeadError(f"It cannot be parsed: {error}.") from error
+    return accept_head(start.version, start.code, headers)
+
+
 @dataclass(frozen=True)
 class HttpAnswer:
     """A complete HTTP answer."""
--- a/tests/mastickeel/test_heads.py
+++ b/tests/mastickeel/test_heads.py
@@ -6,7 +6,13 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from mastickeel.httpmessages import ExchangeBrokenError, HttpRequest, InvalidHeadError
+from mastickeel.addresses import Address
+from mastickeel.httpmessages import (
+    ConnectionFailedError,
+    ExchangeBrokenError,
+    HttpRequest,
+    InvalidHeadError,
+)
 from tests.readers import ReadAnswer, ReaderCase
 
 if TYPE_CHECKING:
@@ -21,7 +27,9 @@
 
 
 class HeadCase(ReaderCase):
-    """A server that answers with given bytes and closes."""
+    """A server that answers with given bytes and, unless it is to hold the connection, closes."""
+
+    holds = False
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -32,7 +40,8 @@
         loop = asyncio.get_running_loop()
         await loop.sock_recv(sock, 4_096)
         await loop.sock_sendall(sock, self.data)
-        sock.close()
+        if self.holds:
+            await loop.sock_recv(sock, 1)
 
 
 class StatusTest(HeadCase):
@@ -77,5 +86,25 @@
                     await read(self.address, REQUEST)
 
 
+class TunnelHeadTest(HeadCase):
+    """The answer of another instance to a request for a tunnel."""
+
+    holds = True
+
+    async def test_broken_answer_opens_no_tunnel(self) -> None:
+        heads = (
+            head_bytes("Bad name: 1"),
+            head_bytes("X\x01: 1"),
+            head_bytes("Bad name: 1", line="HTTP/1.1 503 Busy"),
+            head_bytes(line="HTTP/1.1 000 OK"),
+            head_bytes(line="HTTP/1.1 100 Continue"),
+            head_bytes(line="no 200 answer"),
+            b"\x00 200\r\n\r\n",
+        )
+        for self.data in heads:
+            with self.subTest(self.data), self.assertRaises(ConnectionFailedError):
+                await self.client.open_stream(Address("127.0.0.1", 9), 500, self.address)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/readers.py
+++ b/tests/readers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -35,6 +36,7 @@
 
     async def asyncSetUp(self) -> None:
         self.client = HttpClient(Clock())
+        self._plays: list[asyncio.Task[None]] = []
         self.addAsyncCleanup(self.client.close)
 
     async def serve(self, play: Play) -> Address:
@@ -47,8 +49,10 @@
         serving = asyncio.ensure_future(self._accept(listener, play))
 
         async def stop() -> None:
-            serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
+            tasks = (serving, *self._plays)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             listener.close()
 
         self.addAsyncCleanup(stop)
@@ -59,10 +63,11 @@
         while True:
             sock, _ = await loop.sock_accept(listener)
             sock.setblocking(False)
-            try:
-                await play(sock)
-            except OSError:
-                sock.close()
+            self._plays.append(asyncio.ensure_future(self._play(sock, play)))
+
+    async def _play(self, sock: socket.socket, play: Play) -> None:
+        with sock, contextlib.suppress(OSError):
+            await play(sock)
 
     async def exchange(self, address: Address, request: HttpRequest) -> ReadAnswer:
         """Reads an answer with ``HttpClient``."""
