End an exchange whose transport is lost without an untyped error

Callers saw, on the own interface: an internal error (AttributeError in asyncio) where an engine answered a long prompt without a length, ended its side, and then read the prompt to its end.

Cause: asyncio calls connection_lost from the write that empties the buffer, and drops its loop; run() then aborts the transport, which asyncio allows only before.

Why it works: a transport whose connection is lost is forgotten, so that nothing aborts it.

--- a/packages/mastickeel/src/mastickeel/streaming.py
+++ b/packages/mastickeel/src/mastickeel/streaming.py
@@ -213,6 +213,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the exchange: as complete only if the server's close is what ends the body."""
+        # A lost transport cannot be aborted.
+        self._transport = None
         if self._ended.done():
             return
         if self._answer.ends_with_connection and self._closed_by_peer:
