Take no answer for whole that ends while the request is still being sent

Cause: an answer without a length or chunks was whole once the endpoint's close had been read. An endpoint that closes before it has the whole request, or ends its side and is gone, sends that close first; the reset follows only when more of the request arrives, and by then we had closed.

Why it works: at the close both readers look at what has not arrived, in their own buffer and in the kernel's queue (TIOCOUTQ). The close of an endpoint that has read the request acknowledges all of it. A tunnel that sees such an end passes on a reset. The log says connection_end=early. An endpoint that ends its side first and reads on afterwards is also not believed; it can't be told apart in time.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -9,9 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import math
 import socket
 import ssl
+import sys
+import termios
 from collections import defaultdict, deque
 from dataclasses import replace
 from sys import getsizeof
@@ -68,6 +71,10 @@
 """Answers to other requests that one exchange skips before the connection is closed."""
 
 
+INT_BYTES = 4
+"""Size of the kernel's answer to a request for the length of a queue."""
+
+
 class MonitoredConnection(Protocol):
     """A connection that the client closes when its deadline passes."""
 
@@ -85,12 +92,15 @@
 
     closed_by_peer = False
     """Whether the end of the server's data has been read."""
+    closed_early = False
+    """Whether that end came before the server had received all that was written."""
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads from the socket; 0 bytes mean that the server has sent all of its data."""
         count = super().read_from_fd(buf)
         if count == 0:
             self.closed_by_peer = True
+            self.closed_early = self.writing() or has_unsent_bytes(self.socket)
         return count
 
 
@@ -125,7 +135,7 @@
             return ConnectionEnd.OPEN
         # Over TLS an orderly close cannot be told from a cut connection.
         if isinstance(self._stream, ObservedStream) and self._stream.closed_by_peer:
-            return ConnectionEnd.CLOSED
+            return ConnectionEnd.EARLY if self._stream.closed_early else ConnectionEnd.CLOSED
         if self.timed_out:
             return ConnectionEnd.TIMEOUT
         return ConnectionEnd.ABORTED if self._stream.error is None else ConnectionEnd.RESET
@@ -610,6 +620,15 @@
     return True
 
 
+def has_unsent_bytes(sock: socket.socket) -> bool:
+    """Returns whether the kernel holds written bytes that the other end has not acknowledged."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT_BYTES))
+    except OSError:
+        return False
+    return int.from_bytes(count, sys.byteorder) > 0
+
+
 def configure_socket(sock: socket.socket) -> None:
     """Sets socket options that let the kernel drop a connection whose peer acknowledges nothing."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/mastickeel/src/mastickeel/httpmessages.py
+++ b/packages/mastickeel/src/mastickeel/httpmessages.py
@@ -41,6 +41,9 @@
     OPEN = "open"
     CLOSED = "closed"
     """The server closed the connection in order."""
+    EARLY = "early"
+    """The server closed the connection in order, before it had received the whole request. What it
+    sent may be cut off: it resets the connection once more of the request arrives."""
     RESET = "reset"
     """The connection broke without an orderly close."""
     TIMEOUT = "timeout"
--- a/packages/mastickeel/src/mastickeel/streaming.py
+++ b/packages/mastickeel/src/mastickeel/streaming.py
@@ -13,7 +13,7 @@
 import httptools
 from tornado.httputil import HTTPHeaders
 
-from mastickeel.httpclient import HEADER_LIMIT_BYTES, configure_socket
+from mastickeel.httpclient import HEADER_LIMIT_BYTES, configure_socket, has_unsent_bytes
 from mastickeel.httpmessages import (
     BodyFraming,
     ConnectionFailedError,
@@ -207,9 +207,14 @@
             self._fail(error)
 
     def eof_received(self) -> None:
-        """Records that the server has closed the connection in order."""
-        # Over TLS an orderly close cannot be told from a cut connection.
-        self._closed_by_peer = self._client.tls is None
+        """Records that the server has closed the connection in order; it must have the request."""
+        if self._client.tls is not None:
+            # Over TLS an orderly close cannot be told from a cut connection.
+            return
+        if self._is_sending():
+            self._fail(ExchangeBrokenError("The answer ended before the request was received."))
+        else:
+            self._closed_by_peer = True
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the exchange: as complete only if the server's close is what ends the body."""
@@ -260,6 +265,12 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def _is_sending(self) -> bool:
+        """Returns whether the server has not received the whole request."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        return self._transport.get_write_buffer_size() > 0 or has_unsent_bytes(sock)
+
     def _finish(self) -> None:
         if not self._ended.done():
             self._ended.set_result(None)
--- a/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
+++ b/packages/mastickeel_router/src/mastickeel_router/paths/tunnels.py
@@ -198,7 +198,8 @@
         answers = asyncio.ensure_future(self._copy(upstream, stream))
         try:
             await asyncio.wait((requests, answers), return_when=asyncio.FIRST_COMPLETED)
-            if answers.done() and upstream.closed_by_peer and not stream.closed():
+            ended_in_order = upstream.closed_by_peer and not upstream.closed_early
+            if answers.done() and ended_in_order and not stream.closed():
                 _set_reset_on_close(stream, enabled=False)
         finally:
             requests.cancel()
--- a/tests/mastickeel/test_early_answers.py
+++ b/tests/mastickeel/test_early_answers.py
@@ -2,52 +2,67 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
-import socket
-import struct
 import unittest
 
 from mastickeel.httpmessages import ExchangeBrokenError, HttpRequest
-from tests.readers import ReaderCase
+from tests.early_answers import (
+    ENDS,
+    UNREAD_ENDS,
+    answer_early,
+    close_at_once,
+    end_side_then_read_on,
+    end_side_then_reset,
+)
+from tests.readers import ReadAnswer, ReaderCase
 
 UPLOAD = HttpRequest("POST", "/", {}, bytes(12_000_000))
 """A request that fits into no buffer of the kernel."""
 UNFRAMED = b"HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nhalf"
-READ_BYTES = 1024 * 1024
-BLOCKED_S = 0.05
-"""Time after which the client's writes are blocked, as the server reads nothing."""
-
-
-def reset(sock: socket.socket) -> None:
-    """Closes a connection with a TCP reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
-async def read_rest(sock: socket.socket) -> None:
-    """Reads until the client closes."""
-    while await asyncio.get_running_loop().sock_recv(sock, READ_BYTES):
-        pass
 
 
 class UnframedAnswerTest(ReaderCase):
     """Answers without a length or chunks, which end with the connection."""
 
+    async def test_answer_that_ends_before_the_upload_is_read_is_not_whole(self) -> None:
+        for end in ENDS:
+            for read_bytes in (0, 5_000_000):
+                address = await self.serve(answer_early(UNFRAMED, end, read_bytes=read_bytes))
+                for read in self.readers:
+                    with (
+                        self.subTest(read.__name__, end=end.__name__, read_bytes=read_bytes),
+                        self.assertRaises(ExchangeBrokenError),
+                    ):
+                        await read(address, UPLOAD)
+
+    async def test_answer_that_ends_before_a_short_upload_is_read_is_not_whole(self) -> None:
+        """The kernel has taken the whole request, and the server's kernel has not."""
+        request = HttpRequest("POST", "/", {}, bytes(300_000))
+        for end in UNREAD_ENDS:
+            address = await self.serve(answer_early(UNFRAMED, end))
+            for read in self.readers:
+                with (
+                    self.subTest(read.__name__, end=end.__name__),
+                    self.assertRaises(ExchangeBrokenError),
+                ):
+                    await read(address, request)
+
     async def test_upload_that_is_read_after_the_end_of_the_answer_raises_no_untyped_error(
         self,
     ) -> None:
-        async def play(sock: socket.socket) -> None:
-            await asyncio.sleep(BLOCKED_S)
-            await asyncio.get_running_loop().sock_sendall(sock, UNFRAMED)
-            sock.shutdown(socket.SHUT_WR)
-            await read_rest(sock)
-
-        address = await self.serve(play)
+        address = await self.serve(answer_early(UNFRAMED, end_side_then_read_on))
         for read in self.readers:
             with self.subTest(read.__name__), contextlib.suppress(ExchangeBrokenError):
                 await read(address, UPLOAD)
 
+    async def test_answer_that_ends_after_the_upload_is_read_is_whole(self) -> None:
+        size = len(UPLOAD.body)
+        for end in (close_at_once, end_side_then_reset):
+            address = await self.serve(answer_early(UNFRAMED, end, read_bytes=size))
+            for read in self.readers:
+                with self.subTest(read.__name__, end=end.__name__):
+                    self.assertEqual(await read(address, UPLOAD), ReadAnswer(200, b"half"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mastickeel_platform/test_broken_answers.py
+++ b/tests/mastickeel_platform/test_broken_answers.py
@@ -5,18 +5,25 @@
 import asyncio
 import json
 import unittest
+from functools import partial
 
+from tests.early_answers import UNREAD_ENDS, answer_early
 from tests.mastickeel_platform.gateway_case import GatewayTestCase
 from tests.mastickeel_platform.standins import (
     Request,
     answer_bytes,
     chunk_bytes,
+    configuration,
+    entry,
     event_bytes,
     route,
     stream_head_bytes,
 )
+from tests.readers import PlayServer
 
 INVALID_STATUSES = ("000", "099", "600", "999")
+UPLOAD = bytes(8_000_000)
+"""A body that fits into no buffer of the kernel."""
 
 
 class BrokenAnswerTest(GatewayTestCase):
@@ -87,5 +94,45 @@
         self.assertEqual(reply.body, event_bytes(1) + event_bytes(2))
 
 
+class EarlyAnswerTest(GatewayTestCase):
+    """An endpoint answers with a part of an answer while a long upload is being written to it."""
+
+    ROUTES = (*GatewayTestCase.ROUTES, route("fixed", "streaming", resumable=False))
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        limits = {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": len(UPLOAD),
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        }
+        self.store.put("op/config", configuration(8, *self.ROUTES, limits=limits))
+
+    async def test_part_that_ends_before_the_upload_is_read_is_a_failed_send(self) -> None:
+        fields = "Attempt-Id: {id}\r\nServer-Seal: s\r\n"
+        plain = f"HTTP/1.1 200 OK\r\n{fields}\r\nhalf"
+        stream = f"HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\n\r\n"
+        stream += event_bytes(1).decode()
+        answers_by_path = {"/once/a": plain, "/look/a": plain, "/draft/a": stream}
+        answers_by_path["/fixed/a"] = stream
+        await self.start_gateway()
+        for path, answer in answers_by_path.items():
+            for end in UNREAD_ENDS:
+                request_id = f"{path[1:-2]}-{end.__name__}"
+                data = answer.replace("{id}", request_id).encode()
+                server = PlayServer(answer_early(data, end))
+                self.addAsyncCleanup(server.stop)
+                self.store.put("servers/i-1", entry(server.start().port))
+                await self.wait_until(partial(self.is_listed, server))
+                with self.subTest(path, end=end.__name__):
+                    reply = await self.send_request(path, request_id, body=UPLOAD)
+                    self.assertFalse(reply.status == 200 and reply.complete)
+
+    def is_listed(self, server: PlayServer) -> bool:
+        """Returns whether the gateway knows the endpoint at its newest address."""
+        return [one.address for one in self.gateway.registry.all()] == [server.address]
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mastickeel_router/paths/test_tunnels.py
+++ b/tests/mastickeel_router/paths/test_tunnels.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import unittest
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from mastickeel.addresses import Address
 from mastickeel.clock import Clock
@@ -18,7 +18,12 @@
 )
 from mastickeel_router.discovery import EndpointRecord
 from mastickeel_router.paths import PathMonitor, TunnelListener
+from tests.early_answers import ENDS, UNREAD_ENDS, answer_early, close_at_once
 from tests.mastickeel_platform.standins import RawServer, Request, answer_bytes, reset_connection
+from tests.readers import ReadAnswer, ReaderCase
+
+if TYPE_CHECKING:
+    from tests.readers import Play
 
 MAX_OPEN = 2
 UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\n\r\npart"
@@ -157,5 +162,43 @@
         self.assertEqual((await self.exchange())[0], b"done")
 
 
+class EarlyAnswerTest(ReaderCase):
+    """An endpoint behind a tunnel that answers while the request's body is still being written."""
+
+    async def test_answer_that_ends_before_the_upload_is_read_is_not_whole(self) -> None:
+        ends_by_size = {300_000: UNREAD_ENDS, 2_000_000: UNREAD_ENDS, 12_000_000: ENDS}
+        for size, ends in ends_by_size.items():
+            request = HttpRequest("POST", "/a", {}, bytes(size))
+            for end in ends:
+                address = await self.open_tunnel(answer_early(UNTIL_CLOSE, end))
+                with (
+                    self.subTest(end.__name__, size=size),
+                    self.assertRaises(ExchangeBrokenError),
+                ):
+                    await self.exchange(address, request)
+
+    async def test_answer_that_ends_after_the_upload_is_read_is_whole(self) -> None:
+        request = HttpRequest("POST", "/a", {}, bytes(2_000_000))
+        play = answer_early(UNTIL_CLOSE, close_at_once, read_bytes=len(request.body))
+        address = await self.open_tunnel(play)
+        self.assertEqual(await self.exchange(address, request), ReadAnswer(200, b"part"))
+
+    async def open_tunnel(self, play: Play) -> Address:
+        """Starts an endpoint and a listener for tunnels to it; returns the endpoint's address."""
+        address = await self.serve(play)
+        endpoint = EndpointRecord("e1", "s", address, "dc-a", "v1", started_ms=7)
+        listener = TunnelListener(
+            self.client,
+            clock=self.client.clock,
+            monitor=PathMonitor(lambda: [endpoint.id]),
+            find_endpoint=lambda _: endpoint,
+            accepts=lambda _: True,
+            longest_timeout_ms=lambda: 5_000,
+        )
+        self.via = Address("127.0.0.1", listener.open(Address("127.0.0.1", 0), MAX_OPEN))
+        self.addCleanup(listener.close)
+        return address
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/readers.py
+++ b/tests/readers.py
@@ -31,49 +31,68 @@
     body: bytes
 
 
-class ReaderCase(unittest.IsolatedAsyncioTestCase):
-    """Reads what a server plays with ``HttpClient`` and with ``StreamedExchange``."""
+class PlayServer:
+    """Server that plays the same on each connection."""
 
-    async def asyncSetUp(self) -> None:
-        self.client = HttpClient(Clock())
-        self._plays: list[asyncio.Task[None]] = []
-        self.addAsyncCleanup(self.client.close)
+    def __init__(self, play: Play) -> None:
+        self._play = play
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listener = socket.socket()
 
-    async def serve(self, play: Play) -> Address:
-        """Starts a server that plays the same on each connection."""
-        listener = socket.socket()
+    @property
+    def address(self) -> Address:
+        """The address of the server, once it has started."""
+        return Address("127.0.0.1", self._listener.getsockname()[1])
+
+    def start(self) -> Address:
+        """Starts to accept connections; returns the address."""
+        listener = self._listener
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listener.bind(("127.0.0.1", 0))
         listener.listen()
         listener.setblocking(False)
-        serving = asyncio.ensure_future(self._accept(listener, play))
+        self._tasks.append(asyncio.ensure_future(self._accept()))
+        return self.address
 
-        async def stop() -> None:
-            tasks = (serving, *self._plays)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            listener.close()
+    async def stop(self) -> None:
+        """Ends all plays."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._listener.close()
 
-        self.addAsyncCleanup(stop)
-        return Address("127.0.0.1", listener.getsockname()[1])
-
-    async def _accept(self, listener: socket.socket, play: Play) -> None:
+    async def _accept(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            sock, _ = await loop.sock_accept(listener)
+            sock, _ = await loop.sock_accept(self._listener)
             sock.setblocking(False)
-            self._plays.append(asyncio.ensure_future(self._play(sock, play)))
+            self._tasks.append(asyncio.ensure_future(self._serve(sock)))
 
-    async def _play(self, sock: socket.socket, play: Play) -> None:
+    async def _serve(self, sock: socket.socket) -> None:
         with sock, contextlib.suppress(OSError):
-            await play(sock)
+            await self._play(sock)
+
+
+class ReaderCase(unittest.IsolatedAsyncioTestCase):
+    """Reads what a server plays with ``HttpClient`` and with ``StreamedExchange``."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = HttpClient(Clock())
+        self.addAsyncCleanup(self.client.close)
+        self.via: Address | None = None
+        """Instance through which ``HttpClient`` connects; None to connect directly."""
+
+    async def serve(self, play: Play) -> Address:
+        """Starts a server that plays the same on each connection."""
+        server = PlayServer(play)
+        self.addAsyncCleanup(server.stop)
+        return server.start()
 
     async def exchange(self, address: Address, request: HttpRequest) -> ReadAnswer:
         """Reads an answer with ``HttpClient``."""
         heads: list[HttpHead] = []
         body: list[bytes] = []
-        connection = await self.client.connect(address, timeouts=TIMEOUTS, fresh=True)
+        connection = await self.client.connect(address, timeouts=TIMEOUTS, fresh=True, via=self.via)
         try:
             await connection.exchange(
                 request, on_head=heads.append, on_data=body.append, timeouts=TIMEOUTS
