Deliver a whole answer before the upload has been read

Callers saw: a 504 at their deadline instead of an answer that had arrived whole, where the endpoint answered early and read nothing more of a long upload.

Cause: tornado ends the reading of an answer only once the request has been written, and the connection was closed after that. Until then the deadline went on, and at the route's limit the request failed.

Evidence: test_whole_answer_is_delivered_before_the_upload_is_read failed for both plain routes (504) on the code before, and FramedAnswerTest of test_early_answers for length and chunks.

Why it works: once an answer is whole the connection is closed if a part of the request is still to be written, as it was closed afterwards before; nothing waits for the rest.

Measured: both tests pass, two runs each, with the tests of the client, answers, tunnels and the store.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -150,6 +150,15 @@
         """Closes the connection and ends the exchange that runs on it."""
         self._stream.close()
 
+    def close_if_sending(self) -> None:
+        """Closes the connection if a part of the request is still to be written.
+
+        Its server has answered early: it would read the next request on this connection as the rest
+        of that body, and may read nothing more at all.
+        """
+        if self._stream.writing():
+            self._stream.close()
+
     def detect_remote_close(self) -> None:
         """Makes an idle connection detect that the server closes it."""
         self._stream.set_close_callback(lambda: None)
@@ -203,14 +212,10 @@
         start = RequestStartLine(request.method, request.path, "")
         try:
             self._stream.set_nodelay(True)
-            sent = connection.write_headers(start, headers, request.body)
+            connection.write_headers(start, headers, request.body)
             connection.finish()
             await connection.read_response(receiver)
             await self._skip_foreign_answers(receiver)
-            if receiver.finished and not sent.done():
-                # The answer came before the whole request body was sent: the server would read the
-                # next request on this connection as the rest of that body.
-                self.close()
         except StreamClosedError:
             pass
         if receiver.error is not None:
@@ -288,6 +293,8 @@
 
     def finish(self) -> None:
         self.finished = not self.foreign
+        if self.finished:
+            self._connection.close_if_sending()
 
     def on_connection_close(self) -> None:
         return
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -72,6 +72,11 @@
     reset(sock)
 
 
+async def read_nothing(sock: socket.socket) -> None:
+    """Keeps the connection, and reads nothing more of the request."""
+    await asyncio.Event().wait()
+
+
 UNREAD_ENDS = (end_side_then_reset, end_side_then_close, reset_at_once, reset_later)
 """Ends of a connection after which no more of the request is read."""
 ENDS = (*UNREAD_ENDS, close_at_once, end_side_then_read_on)
--- a/tests/mastickeel/test_early_answers.py
+++ b/tests/mastickeel/test_early_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import unittest
 
@@ -13,12 +14,17 @@
     close_at_once,
     end_side_then_read_on,
     end_side_then_reset,
+    read_nothing,
 )
 from tests.readers import ReadAnswer, ReaderCase
 
 UPLOAD = HttpRequest("POST", "/", {}, bytes(12_000_000))
 """A request that fits into no buffer of the kernel."""
 UNFRAMED = b"HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nhalf"
+SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n"
+PROMPT_S = 0.5
+"""Time within which a whole answer is passed on; the exchange itself may take 2 s."""
 
 
 class UnframedAnswerTest(ReaderCase):
@@ -64,5 +70,18 @@
                     self.assertEqual(await read(address, UPLOAD), ReadAnswer(200, b"half"))
 
 
+class FramedAnswerTest(ReaderCase):
+    """Answers with a length or chunks, which are whole before the connection ends."""
+
+    async def test_whole_answer_is_not_held_until_the_upload_is_read(self) -> None:
+        for answer in (SIZED, CHUNKED):
+            for end in (*UNREAD_ENDS, read_nothing):
+                address = await self.serve(answer_early(answer, end))
+                for read in self.readers:
+                    with self.subTest(read.__name__, answer=answer, end=end.__name__):
+                        async with asyncio.timeout(PROMPT_S):
+                            self.assertEqual(await read(address, UPLOAD), ReadAnswer(200, b"half"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mastickeel_platform/test_broken_answers.py
+++ b/tests/mastickeel_platform/test_broken_answers.py
@@ -6,8 +6,9 @@
 import json
 import unittest
 from functools import partial
+from typing import TYPE_CHECKING
 
-from tests.early_answers import UNREAD_ENDS, answer_early
+from tests.early_answers import UNREAD_ENDS, answer_early, read_nothing
 from tests.mastickeel_platform.gateway_case import GatewayTestCase
 from tests.mastickeel_platform.standins import (
     Request,
@@ -21,6 +22,9 @@
 )
 from tests.readers import PlayServer
 
+if TYPE_CHECKING:
+    from tests.readers import Play
+
 INVALID_STATUSES = ("000", "099", "600", "999")
 UPLOAD = bytes(8_000_000)
 """A body that fits into no buffer of the kernel."""
@@ -120,15 +124,29 @@
         for path, answer in answers_by_path.items():
             for end in UNREAD_ENDS:
                 request_id = f"{path[1:-2]}-{end.__name__}"
-                data = answer.replace("{id}", request_id).encode()
-                server = PlayServer(answer_early(data, end))
-                self.addAsyncCleanup(server.stop)
-                self.store.put("servers/i-1", entry(server.start().port))
-                await self.wait_until(partial(self.is_listed, server))
+                await self.list_endpoint(answer.replace("{id}", request_id), end)
                 with self.subTest(path, end=end.__name__):
                     reply = await self.send_request(path, request_id, body=UPLOAD)
                     self.assertFalse(reply.status == 200 and reply.complete)
 
+    async def test_whole_answer_is_delivered_before_the_upload_is_read(self) -> None:
+        await self.start_gateway()
+        for path in ("/once/a", "/look/a"):
+            for end in (*UNREAD_ENDS, read_nothing):
+                request_id = f"{path[1:-2]}-{end.__name__}"
+                fields = f"Attempt-Id: {request_id}\r\nServer-Seal: s\r\nContent-Length: 4"
+                await self.list_endpoint(f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\nbody", end)
+                with self.subTest(path, end=end.__name__):
+                    reply = await self.send_request(path, request_id, body=UPLOAD)
+                    self.assertEqual((reply.status, reply.body), (200, b"body"))
+
+    async def list_endpoint(self, answer: str, end: Play) -> None:
+        """Starts the only endpoint, which answers early, and waits until the gateway knows it."""
+        server = PlayServer(answer_early(answer.encode(), end))
+        self.addAsyncCleanup(server.stop)
+        self.store.put("servers/i-1", entry(server.start().port))
+        await self.wait_until(partial(self.is_listed, server))
+
     def is_listed(self, server: PlayServer) -> bool:
         """Returns whether the gateway knows the endpoint at its newest address."""
         return [one.address for one in self.gateway.registry.all()] == [server.address]
