Free an incomplete event when its answer is given up

Callers saw: their requests ended with the process (LOST), where an endpoint sent events without end: 255 MB in a process of 150 and 109 in one of 88 with 100 callers of a stream; 158 MB of 150 at a plain route.

Cause: the parts of an incomplete event stayed in memory after the answer had been given up and the ledger had got their memory back. The frames of the error that ends such an answer refer to the splitter, in a cycle that is freed with the next collection of garbage. The parts were blocks of 16 KB, which leave holes in the heap, and the body of an answer that had failed was kept until the next send.

The issue's report is of plain routes; streams are worse.

Why it works: what is dropped is emptied, not only replaced, so that the frames keep nothing; an incomplete event is one block, counted with its room to grow; an answer that can't be delivered is released when its send ends.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/sending.py
@@ -143,6 +143,8 @@
         answer.release_events()
         end = answer.describe_end(connection.end)
         connection.close()
+    if result.outcome is not SendOutcome.WHOLE:
+        answer.release()
     return replace(result, end=end, via=connection.via)
 
 
@@ -252,8 +254,8 @@
 
     def _forget_body(self) -> None:
         """Drops what has been collected; the objects of a request are freed some time later."""
-        self._body = LimitedBody(0)
-        self._splitter = EventSplitter()
+        self._body.drop()
+        self._splitter.clear()
 
     def release_events(self) -> None:
         """Returns the memory of an event that was not complete."""
@@ -301,10 +303,10 @@
             if events:
                 self._event_at_ms = now
             if self._is_forwarded:
-                self._hold(self._splitter.pending_bytes)
+                self._hold(self._splitter.held_bytes)
                 return self._forward(events) if events else None
         self._body.append(chunk)
-        self._hold(self._body.held_bytes + self._splitter.pending_bytes)
+        self._hold(self._body.held_bytes + self._splitter.held_bytes)
         return None
 
     def _hold(self, size: int) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/sse.py
+++ b/packages/mastickeel_router/src/mastickeel_router/sse.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from sys import getsizeof
 from typing import Any
 
 from mastickeel.decoding import decode_json, parse_whole_number
@@ -29,9 +30,18 @@
     def __init__(self) -> None:
         self.pending_bytes = 0
         """Size of the bytes that arrived after the last complete event."""
-        self._parts: list[bytes] = []
+        self._pending = bytearray()
         self._tail = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the incomplete event in bytes, which has room for more."""
+        return getsizeof(self._pending)
+
+    def clear(self) -> None:
+        """Drops the incomplete event, which the frames of an error would keep."""
+        self._pending, self.pending_bytes, self._tail = bytearray(), 0, b""
+
     def split(self, chunk: bytes) -> list[bytes]:
         """Adds a chunk of the stream and returns the events that are now complete.
 
@@ -44,26 +54,26 @@
         Raises:
             AnswerTooLargeError: When an event is larger than ``MAX_EVENT_BYTES``.
         """
-        if not self._parts and chunk.endswith(b"\n\n") and b"\r" not in chunk:
+        if not self._pending and chunk.endswith(b"\n\n") and b"\r" not in chunk:
             if chunk.find(b"\n\n") == len(chunk) - 2:
                 return [chunk]
         elif END_OF_EVENT.search(self._tail + chunk) is None:
             # Only the end of what is buffered can be a part of the next blank line, so an event
             # that arrives in many chunks is searched once.
             self._tail = (self._tail + chunk)[-MAX_BLANK_LINE_BYTES:]
-            self._parts.append(chunk)
+            self._pending += chunk
             self.pending_bytes += len(chunk)
             if self.pending_bytes > MAX_EVENT_BYTES:
                 raise AnswerTooLargeError(f"An event is over {MAX_EVENT_BYTES} bytes.")
             return []
-        data = b"".join((*self._parts, chunk))
+        data = b"".join((self._pending, chunk))
         events: list[bytes] = []
         start = 0
         for match in END_OF_EVENT.finditer(data):
             events.append(data[start : match.end()])
             start = match.end()
         rest = data[start:]
-        self._parts = [rest] if rest else []
+        self._pending = bytearray(rest)
         self.pending_bytes = len(rest)
         self._tail = rest[-MAX_BLANK_LINE_BYTES:]
         return events
@@ -74,11 +84,11 @@
         This is an event whose last line break might have continued, or lines that belong to no
         event. What is still pending after this call is an event that has been cut off.
         """
-        rest = b"".join(self._parts)
+        rest = bytes(self._pending)
         is_complete = rest.endswith((b"\r\r", b"\n\r")) or OUTSIDE_EVENTS.fullmatch(rest)
         if not rest or not is_complete:
             return []
-        self._parts, self.pending_bytes, self._tail = [], 0, b""
+        self.clear()
         return [rest]
 
 
