Refuse a request that cannot end before the instance stops

Callers saw: requests, also such that may not be repeated, that were taken on kept and on new connections late in the grace period of a planned stop, passed on, and cut with no answer at its end (LOST). With leave_ms near the grace period any request, and whatever leave_ms is one whose body became whole that late.

Cause: drain waits for the end of the grace period, but nothing compares it with the time that a request may take. A request was passed on as long as a connection could bring it.

Why it works: before a request is first passed on, and once more when the connection to the endpoint is open, the time until the end is compared with the time that the route and the caller leave it, or half of the grace period for those that may take longer. The deadline that an endpoint is told ends with the instance, too.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -64,6 +64,7 @@
 from mastickeel_router.relay import Dispatcher
 from mastickeel_router.relay.budget import RetryBudget
 from mastickeel_router.relay.context import Context
+from mastickeel_router.relay.policy import PlannedStop
 from mastickeel_router.releases import ReleaseOrder, Releases
 from mastickeel_router.releases.decision import ReleaseShares
 from mastickeel_router.routes import (
@@ -95,6 +96,8 @@
 """Number of instances that campaign first for the duty of leading releases."""
 IDLE_CHECK_INTERVAL_MS = 50
 """Interval of checks for open requests during a drain."""
+ENOUGH_SHARE = 0.5
+"""Part of the grace period that is enough for a request to end, whatever its own limit allows."""
 IDLE_BEFORE_STOP_MS = 200
 """Time without open requests after which a drain ends; the last accepted connection may still bring
 its first request."""
@@ -176,8 +179,8 @@
         """What endpoints have said about taking further requests."""
         self.held_memory = HeldMemory(clock, settings.memory.held_bytes)
         """Memory that callers and endpoints make this instance hold."""
-        self.stopping = False
-        """Whether a drain has begun."""
+        self.planned_stop: PlannedStop | None = None
+        """The planned stop; None before a drain begins."""
         self.callers_port = 0
         """Port of the callers' listener; 0 before the start."""
         self.health_port = 0
@@ -295,7 +298,7 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new connections."""
-        return self._has_loaded and not self.stopping
+        return self._has_loaded and self.planned_stop is None
 
     @property
     def _has_loaded(self) -> bool:
@@ -371,18 +374,20 @@
         Returns at the latest ``reserve_ms`` before the end of the grace period.
         """
         stop = self.settings.stop
-        deadline_ms = self.clock.now() + stop.grace_ms - stop.reserve_ms
-        self.stopping = True
+        now = self.clock.now()
+        end_ms = now + stop.grace_ms - stop.reserve_ms
+        leave_end_ms = min(now + stop.leave_ms, end_ms)
+        self.planned_stop = PlannedStop(end_ms, round(stop.grace_ms * ENOUGH_SHARE))
         self.tunnels.refuse_new()
         self.store_calls.report()
         log(events.STOPPING, open_requests=self.listener.open_requests)
         self.listener.disable_keep_alive()
         # In the background: a store that does not answer must not use up the grace period.
         self._tasks.start(self.releases.release_duty())
-        await self.clock.sleep(min(stop.leave_ms, deadline_ms - self.clock.now()))
+        await self.clock.sleep(leave_end_ms - now)
         self.listener.stop()
         idle_since_ms = self.clock.now()
-        while (now := self.clock.now()) < deadline_ms:
+        while (now := self.clock.now()) < end_ms:
             self.listener.close_idle()
             if self.listener.open_requests or self.tunnels.open_count:
                 idle_since_ms = now
@@ -568,6 +573,7 @@
             admissions=self.admissions,
             permits=self.permits,
             held_memory=self.held_memory,
+            planned_stop=lambda: self.planned_stop,
             tasks=self._tasks,
             select_endpoints=self.releases.select_endpoints,
             sessions=self.releases.sessions,
--- a/packages/mastickeel_router/src/mastickeel_router/relay/context.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/context.py
@@ -23,7 +23,7 @@
     from mastickeel_router.quarantine.reports import CrashReports
     from mastickeel_router.ratelimits import EndpointLimits, SendAdmissions, SendPermits
     from mastickeel_router.relay.budget import RetryBudget
-    from mastickeel_router.relay.policy import SendResult
+    from mastickeel_router.relay.policy import PlannedStop, SendResult
     from mastickeel_router.relay.types import AnswerHead, CallerRequest, Dialect
     from mastickeel_router.releases.sessions import SessionVersions
     from mastickeel_router.routes import Route, RouteTable
@@ -150,6 +150,8 @@
     """Returns the age of what is known of the store; None before the first list."""
     confirm_knowledge: Callable[[], Awaitable[bool]]
     """Returns whether what is known of the store is recent enough to refuse a caller by it."""
+    planned_stop: Callable[[], PlannedStop | None]
+    """Returns the planned stop of this instance; None while there is none."""
     open_sends: set[OpenSend]
     """Sends whose answers have not ended."""
     on_send: Callable[[SendObservation], None]
--- a/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/policy.py
@@ -95,6 +95,27 @@
     """Whether the request may have run at an endpoint so far."""
 
 
+@dataclass(frozen=True)
+class PlannedStop:
+    """Planned stop of this instance."""
+
+    end_ms: int
+    """Clock time at which open requests are ended."""
+    enough_ms: int
+    """Time within which any request may be expected to end, whatever its own limit allows."""
+
+
+def can_end(stop: PlannedStop | None, now_ms: int, limit_ms: float) -> bool:
+    """Returns whether a request that is passed on now ends before this instance does.
+
+    Args:
+        stop: The planned stop; None while there is none.
+        now_ms: The present clock time.
+        limit_ms: Time that the route and the caller leave the request.
+    """
+    return stop is None or stop.end_ms - now_ms >= min(limit_ms, stop.enough_ms)
+
+
 def is_endpoint_absent(result: SendResult) -> bool:
     """Returns whether a send showed that the endpoint is not at its listed address."""
     if result.outcome is SendOutcome.UNREACHED:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -28,6 +28,7 @@
     RequestState,
     SendOutcome,
     SendResult,
+    can_end,
     is_endpoint_absent,
     next_step,
     should_retry,
@@ -54,6 +55,8 @@
 """Retry time sent to callers after every endpoint refused: about the work in a full queue."""
 NO_ENDPOINT_RETRY_MS = 1_000
 """Retry time sent to callers while no endpoint is known: endpoints register about once a second."""
+STOP_RETRY_MS = 100
+"""Retry time sent to callers while this instance stops: the other instances can serve at once."""
 RETRY_JITTER = 0.4
 """Fraction by which a retry time is varied in either direction."""
 RETURN_STEP_MS = 50
@@ -62,6 +65,14 @@
 """Minimum number of events from which a stream's pace is computed."""
 
 
+class StoppingError(UnavailableError):
+    """Raised when a request may not end before this instance stops, and has not been passed on."""
+
+    code = "instance_stopping"
+    title = "This instance stops before the request could end."
+    remedy = "Send it again on a new connection, which leads to another instance."
+
+
 class DeadlineError(MastickeelError):
     """Raised when a request that may have run reaches its deadline."""
 
@@ -80,6 +91,13 @@
     await responder.write_answer(status, HTTPHeaders(fields), body)
 
 
+def find_limit_ms(request: CallerRequest, route: Route) -> int:
+    """Returns the time that the caller and the route leave a request, from its arrival."""
+    if request.timeout_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, request.timeout_ms - ANSWER_MARGIN_MS)
+
+
 class RequestRun:
     """Relays one request until it is answered, refused or failed."""
 
@@ -104,10 +122,9 @@
         self._first_event_at_ms: int | None = None
         self._release_answer: Callable[[], None] = _release_nothing
         self._begin_delivery: Callable[[int, Callable[[], None]], None] | None = None
-        limit = route.timeout_ms
+        limit = find_limit_ms(request, route)
         self._limit_detail = f"the route allows {limit} ms."
-        if request.timeout_ms is not None and request.timeout_ms - ANSWER_MARGIN_MS < limit:
-            limit = request.timeout_ms - ANSWER_MARGIN_MS
+        if limit < route.timeout_ms:
             self._limit_detail = f"the caller waits for {request.timeout_ms} ms."
         self._deadline_ms = self._progress.started_ms + limit
         self._homes = home_regions(route, caller)
@@ -143,7 +160,17 @@
 
     @property
     def _remaining_ms(self) -> int:
-        return self._deadline_ms - self._context.clock.now()
+        """Time left for the request, which also ends when this instance stops."""
+        stop = self._context.planned_stop()
+        end_ms = self._deadline_ms if stop is None else min(self._deadline_ms, stop.end_ms)
+        return end_ms - self._context.clock.now()
+
+    @property
+    def _is_too_late(self) -> bool:
+        """Whether the request has not been passed on and could not end before this instance."""
+        now = self._context.clock.now()
+        fits = can_end(self._context.planned_stop(), now, self._deadline_ms - now)
+        return not fits and not self._progress.may_have_run
 
     async def run(self) -> None:
         """Relays the request within its deadline and logs the outcome."""
@@ -164,6 +191,8 @@
     async def _send_until_done(self) -> None:
         """Sends the request until an answer can be delivered or no retry is left."""
         while True:
+            if self._is_too_late:
+                raise make_stopping_error(self._context)
             self._check_content()
             endpoint = await self._choose_endpoint()
             result = await self._send(endpoint)
@@ -348,7 +377,7 @@
 
     def _may_send(self, endpoint: EndpointRecord, admitted: AdmittedSend) -> bool:
         """Returns whether an endpoint still wants the request, which is sent at once then."""
-        return self._context.accepts(endpoint) and admitted.start()
+        return not self._is_too_late and self._context.accepts(endpoint) and admitted.start()
 
     def _observe_head(
         self, endpoint: EndpointRecord, head: AnswerHead, start_ms: int, admitted: AdmittedSend
@@ -512,6 +541,12 @@
         await send_error(self._context.dialect, error, self._request.id, self._responder)
 
 
+def make_stopping_error(context: Context) -> StoppingError:
+    """Returns the error for a request that comes too late in a planned stop."""
+    retry_ms = round(STOP_RETRY_MS * context.rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER))
+    return StoppingError("It came late in a planned stop.", retry_after_ms=retry_ms)
+
+
 def _describe_failure(result: SendResult) -> str:
     """Returns why an answer is not delivered."""
     return result.reason or f"status {result.head.status if result.head else 0}"
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -113,6 +113,10 @@
         )
         self.assertIn("e1 for 2000 ms since 2026-09-20T22:07:01", cause)
 
+    def test_request_that_came_late_in_a_stop(self) -> None:
+        cause = self.cause(request_end(1, "refused", code="instance_stopping"))
+        self.assertIn("The instance was to stop", cause)
+
     def test_listed_endpoints_that_had_said_that_they_leave(self) -> None:
         found = [line(1, "endpoint_found", endpoint=f"e{n}", service="s") for n in range(3)]
         leaving = [line(2, "endpoint_leaving", endpoint=f"e{n}") for n in range(2)]
