Refuse a request at once when its upload can no longer end in time

Cause: the time that is left was looked at when the request was whole.

Evidence: test_request_is_refused_before_its_body_is_whole_once_it_cannot_end got no answer in time on the code before.

Why it works: while it drains, the gateway looks every 50 ms at the requests that are being read. Their route follows from the head. Those that could not end any more are refused as not run, as in the relay and by the same function (can_end).

Measured: test_late_requests, test_policy, test_stop, test_gateway and test_listener pass.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -384,7 +384,7 @@
         self.listener.disable_keep_alive()
         # In the background: a store that does not answer must not use up the grace period.
         self._tasks.start(self.releases.release_duty())
-        await self.clock.sleep(leave_end_ms - now)
+        await self._refuse_late_until(leave_end_ms)
         self.listener.stop()
         idle_since_ms = self.clock.now()
         while (now := self.clock.now()) < end_ms:
@@ -393,7 +393,13 @@
                 idle_since_ms = now
             elif now - idle_since_ms >= IDLE_BEFORE_STOP_MS:
                 break
-            await self.clock.sleep(IDLE_CHECK_INTERVAL_MS)
+            await self._refuse_late_until(min(now + IDLE_CHECK_INTERVAL_MS, end_ms))
+
+    async def _refuse_late_until(self, until_ms: int) -> None:
+        """Waits, and refuses the requests that are being read and can no longer end in time."""
+        while (now := self.clock.now()) < until_ms:
+            await self.clock.sleep(min(IDLE_CHECK_INTERVAL_MS, until_ms - now))
+            self.listener.refuse_unread(self._dispatcher.refuse_late)
 
     async def stop(self) -> None:
         """Closes all listeners and connections at once, which aborts open requests."""
--- a/packages/mastickeel_router/src/mastickeel_router/listeners/listener.py
+++ b/packages/mastickeel_router/src/mastickeel_router/listeners/listener.py
@@ -357,6 +357,15 @@
             if not reader.busy:
                 reader.close()
 
+    def refuse_unread(self, find_error: Callable[[RequestHead], MastickeelError | None]) -> None:
+        """Refuses requests whose bodies are still being read.
+
+        Args:
+            find_error: Returns the error for a request by its head; None to read on.
+        """
+        for reader in list(self._readers_by_connection.values()):
+            reader.refuse_unread(find_error)
+
     def stop(self) -> None:
         """Stops accepting connections."""
         if self._server is not None:
@@ -413,6 +422,14 @@
         if self._task is not None:
             self._task.cancel()
 
+    def refuse_unread(self, find_error: Callable[[RequestHead], MastickeelError | None]) -> None:
+        """Refuses the request if it is still being read and there is an error for it."""
+        if not self.busy or self._task is not None or self._refused or self._head is None:
+            return
+        error = find_error(self._head)
+        if error is not None:
+            self._refuse(error)
+
     def is_unread_since(self, at_ms: int) -> bool:
         """Returns whether the caller has not read a part of its answer since a clock time."""
         return self._task is not None and self.share.is_waiting and self.share.progress_ms < at_ms
--- a/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
@@ -12,7 +12,13 @@
 )
 from mastickeel.logs import log
 from mastickeel_router.relay.context import REQUEST_REFUSED
-from mastickeel_router.relay.run import RequestRun, send_error
+from mastickeel_router.relay.policy import can_end
+from mastickeel_router.relay.run import (
+    RequestRun,
+    find_limit_ms,
+    make_stopping_error,
+    send_error,
+)
 
 if TYPE_CHECKING:
     from mastickeel_router.listeners import RequestHead
@@ -64,23 +70,47 @@
                     retry_after_ms=UNCONFIRMED_RETRY_MS,
                 )
         except MastickeelError as error:
-            # The query is not logged: it may hold personal data.
-            log(
-                REQUEST_REFUSED,
-                request=request_id,
-                path=head.path,
-                code=error.code,
-                detail=error.detail,
-                version=context.table.version,
-                store_age_ms=context.store_age_ms(),
-                knowledge_age_ms=context.knowledge_age_ms(),
-            )
-            context.on_error_reply(error.code)
+            self._record_refusal(request_id, head, error)
             await send_error(context.dialect, error, request_id, responder)
             return
         assert body is not None
         await RequestRun(context, request, route, caller, body, responder).run()
 
+    def refuse_late(self, head: RequestHead) -> MastickeelError | None:
+        """Returns the error for a request that is being read and comes too late in a planned stop.
+
+        Returns:
+            The error, which has been recorded; None to read on.
+        """
+        context = self._context
+        try:
+            request = context.dialect.read_request(head)
+            route, _ = _look_up(context.table, request, head.path)
+        except MastickeelError:
+            return None
+        limit_ms = find_limit_ms(request, route)
+        if can_end(context.planned_stop(), context.clock.now(), limit_ms):
+            return None
+        error = make_stopping_error(context)
+        self._record_refusal(request.id, head, error)
+        return error
+
+    def _record_refusal(self, request_id: str, head: RequestHead, error: MastickeelError) -> None:
+        """Logs and counts a request that is refused before it is relayed."""
+        context = self._context
+        # The query is not logged: it may hold personal data.
+        log(
+            REQUEST_REFUSED,
+            request=request_id,
+            path=head.path,
+            code=error.code,
+            detail=error.detail,
+            version=context.table.version,
+            store_age_ms=context.store_age_ms(),
+            knowledge_age_ms=context.knowledge_age_ms(),
+        )
+        context.on_error_reply(error.code)
+
     async def _admit(self, request: CallerRequest, path: str) -> tuple[Route, Caller | None]:
         """Returns the route and the client account of a request.
 
--- a/tests/mastickeel_platform/test_late_requests.py
+++ b/tests/mastickeel_platform/test_late_requests.py
@@ -149,6 +149,16 @@
                 self.assertEqual(reply.status, 503)
             writer.close()
 
+    async def test_request_is_refused_before_its_body_is_whole_once_it_cannot_end(self) -> None:
+        await self.start_gateway(self.work)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+        writer.write(request_bytes("/once/a", body=UPLOAD)[:-1])
+        await asyncio.sleep(STEP_S)
+        self.begin_stop()
+        reply = await asyncio.wait_for(read_reply(reader), (GRACE_MS - RESERVE_MS) / 1_000 - 0.2)
+        self.assertEqual((reply.status, self.received_requests()), (503, []))
+        writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mastickeel_router/gateway/test_stop.py
+++ b/tests/mastickeel_router/gateway/test_stop.py
@@ -34,6 +34,9 @@
     def close_idle(self) -> None:
         """Does nothing."""
 
+    def refuse_unread(self, find_error: object) -> None:
+        """Does nothing."""
+
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """A gateway that was not started, with a fake listener."""
--- a/tests/mastickeel_router/relay/test_policy.py
+++ b/tests/mastickeel_router/relay/test_policy.py
@@ -12,9 +12,11 @@
 from mastickeel_router.relay.policy import (
     MAX_UNREACHED,
     NextStep,
+    PlannedStop,
     RequestState,
     SendOutcome,
     SendResult,
+    can_end,
     classify_answer,
     next_step,
     should_retry,
@@ -114,5 +116,26 @@
                 self.assertIs(next_step(result, REPEATABLE, state, retry_granted=granted), step)
 
 
+class PlannedStopTest(unittest.TestCase):
+    """Requests while the instance stops at 8,000 ms, where 4,000 ms are enough for any of them."""
+
+    def test_request_needs_its_own_time_or_enough_time(self) -> None:
+        stop = PlannedStop(end_ms=8_000, enough_ms=4_000)
+        cases = [
+            (0, 800, True),
+            (7_200, 800, True),
+            (7_201, 800, False),
+            (4_000, 20_000, True),
+            (4_001, 20_000, False),
+            (8_000, 1, False),
+        ]
+        for now_ms, limit_ms, fits in cases:
+            with self.subTest(now_ms=now_ms, limit_ms=limit_ms):
+                self.assertEqual(can_end(stop, now_ms, limit_ms), fits)
+
+    def test_any_request_fits_before_a_stop_is_planned(self) -> None:
+        self.assertTrue(can_end(None, 10_000, 20_000))
+
+
 if __name__ == "__main__":
     unittest.main()
