Answer the requests that a planned stop ends

Callers saw: a closed connection with no answer at the end of the grace period, for a request that an endpoint was still at work on, whenever it had come (LOST).

Cause: stop() closes the connections of the requests that a drain has left over.

Why it works: at its end the drain ends the open requests itself, within 100 ms: one that may have run gets 504, instance_stopped, ran: unknown; one that has not been passed on is refused as not run. A stream that has begun is cut as before, as it must not look complete. The drain returns when it did before.

--- a/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
+++ b/packages/mastickeel_ctl/src/mastickeel_ctl/trace.py
@@ -192,6 +192,8 @@
         return "The content had crashed endpoints before; see the crash_reported events."
     if code == "instance_stopping":
         return "The instance was to stop before the request could end; no endpoint got it."
+    if code == "instance_stopped":
+        return f"The instance stopped {end.get('took_ms')} ms after the request had come."
     if code == "part_refused":
         return f"{end.get('detail', '')} {_describe_parts(str(end.get('detail', '')), state)}"
     if code == "endpoints_limited":
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -101,6 +101,10 @@
 IDLE_BEFORE_STOP_MS = 200
 """Time without open requests after which a drain ends; the last accepted connection may still bring
 its first request."""
+END_TIMEOUT_MS = 100
+"""Time in which the requests that a drain ends get their answers."""
+END_CHECK_INTERVAL_MS = 5
+"""Interval of checks whether the requests that a drain ends have got their answers."""
 
 MAX_LOGGED_ERROR = 300
 """Maximum length of an error's text in a log record."""
@@ -371,11 +375,12 @@
     async def drain(self) -> None:
         """Ends readiness, then stops accepting connections and waits for open requests.
 
-        Returns at the latest ``reserve_ms`` before the end of the grace period.
+        Open requests are ended with an answer. Returns at the latest ``reserve_ms`` before the end
+        of the grace period.
         """
         stop = self.settings.stop
         now = self.clock.now()
-        end_ms = now + stop.grace_ms - stop.reserve_ms
+        end_ms = now + stop.grace_ms - stop.reserve_ms - END_TIMEOUT_MS
         leave_end_ms = min(now + stop.leave_ms, end_ms)
         self.planned_stop = PlannedStop(end_ms, round(stop.grace_ms * ENOUGH_SHARE))
         self.tunnels.refuse_new()
@@ -394,6 +399,10 @@
             elif now - idle_since_ms >= IDLE_BEFORE_STOP_MS:
                 break
             await self._refuse_late_until(min(now + IDLE_CHECK_INTERVAL_MS, end_ms))
+        self._dispatcher.end_requests()
+        timeout_ms = self.clock.now() + END_TIMEOUT_MS
+        while self.listener.open_requests and self.clock.now() < timeout_ms:
+            await self.clock.sleep(END_CHECK_INTERVAL_MS)
 
     async def _refuse_late_until(self, until_ms: int) -> None:
         """Waits, and refuses the requests that are being read and can no longer end in time."""
--- a/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/dispatcher.py
@@ -41,6 +41,7 @@
             context: Dependencies of the relay.
         """
         self._context = context
+        self._open_runs: set[RequestRun] = set()
 
     def wants_body(self, head: RequestHead) -> bool:
         """Returns whether the body of a request is of use, by the configuration in force."""
@@ -74,7 +75,17 @@
             await send_error(context.dialect, error, request_id, responder)
             return
         assert body is not None
-        await RequestRun(context, request, route, caller, body, responder).run()
+        run = RequestRun(context, request, route, caller, body, responder)
+        self._open_runs.add(run)
+        try:
+            await run.run()
+        finally:
+            self._open_runs.discard(run)
+
+    def end_requests(self) -> None:
+        """Ends the open requests, each with an answer if none has begun."""
+        for run in list(self._open_runs):
+            run.end()
 
     def refuse_late(self, head: RequestHead) -> MastickeelError | None:
         """Returns the error for a request that is being read and comes too late in a planned stop.
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -83,6 +83,13 @@
     ran = ExecutionStatus.UNKNOWN
 
 
+class StoppedError(DeadlineError):
+    """Raised when a request that may have run has not ended before this instance stops."""
+
+    code = "instance_stopped"
+    title = "This instance stops, and the service has not answered."
+
+
 async def send_error(
     dialect: Dialect, error: MastickeelError, request_id: str, responder: Responder
 ) -> None:
@@ -129,6 +136,8 @@
         self._deadline_ms = self._progress.started_ms + limit
         self._homes = home_regions(route, caller)
         self._pin = context.sessions.version_of(request.session)
+        self._work: asyncio.Task[None] | None = None
+        self._is_ended = False
         self._service = _choose_service(route, context.rng)
         account = caller.name if caller else ""
         self._crash_detector = CrashDetector(context, request, account, body, service=self._service)
@@ -176,18 +185,27 @@
         """Relays the request within its deadline and logs the outcome."""
         context = self._context
         context.budget.record_request(self._service)
+        self._work = asyncio.ensure_future(self._send_until_done())
         try:
-            await context.clock.wait_for(self._send_until_done(), self._remaining_ms)
+            await context.clock.wait_for(self._work, self._remaining_ms)
         except TimeoutError:
             await self._end_with_error(self._timeout_error())
         except MastickeelError as error:
             await self._end_with_error(error)
         except (StreamClosedError, asyncio.CancelledError):
-            self._log.log_end(REQUEST_LEFT)
-            raise
+            if not self._is_ended:
+                self._log.log_end(REQUEST_LEFT)
+                raise
+            await self._end_with_error(self._timeout_error())
         finally:
             self._release_answer()
 
+    def end(self) -> None:
+        """Ends the request with an answer of this instance, which stops."""
+        self._is_ended = True
+        if self._work is not None:
+            self._work.cancel()
+
     async def _send_until_done(self) -> None:
         """Sends the request until an answer can be delivered or no retry is left."""
         while True:
@@ -521,9 +539,13 @@
         return round(away_ms + rank + self._context.rng.uniform(0, RETRY_JITTER * away_ms))
 
     def _timeout_error(self) -> MastickeelError:
-        """Returns the error for a request that has reached its deadline."""
+        """Returns the error for a request that has reached its deadline, or this instance's end."""
+        stop, now = self._context.planned_stop(), self._context.clock.now()
+        is_stopped = self._is_ended or (stop is not None and now >= stop.end_ms)
         if self._progress.may_have_run:
-            return DeadlineError(self._limit_detail)
+            return StoppedError("") if is_stopped else DeadlineError(self._limit_detail)
+        if is_stopped:
+            return make_stopping_error(self._context)
         return UnavailableError(
             f"No endpoint accepted the request in time: {self._limit_detail}",
             retry_after_ms=self._jitter(BUSY_RETRY_MS),
--- a/tests/mastickeel_ctl/test_trace.py
+++ b/tests/mastickeel_ctl/test_trace.py
@@ -116,6 +116,8 @@
     def test_request_that_came_late_in_a_stop(self) -> None:
         cause = self.cause(request_end(1, "refused", code="instance_stopping"))
         self.assertIn("The instance was to stop", cause)
+        cause = self.cause(request_end(1, "failed", code="instance_stopped", took_ms=70))
+        self.assertIn("The instance stopped 70 ms after", cause)
 
     def test_listed_endpoints_that_had_said_that_they_leave(self) -> None:
         found = [line(1, "endpoint_found", endpoint=f"e{n}", service="s") for n in range(3)]
