Count the incomplete events of engines in the memory of the instance

Callers saw, on the own interface: a process of 128 MB that held 130 to 145 MB, where an engine answered 100 callers with an event that did not end.

Cause: the relay counts an incomplete event in the instance's ledger, the chat dispatcher did not. Each of its answers held up to 1 MB that no bound on all saw.

Why it works: AnswerStream has a share of HeldMemory for its incomplete event. What is given up is emptied at once, and the exchange fails as one whose event is too large.

--- a/bench/measure/dispatch.py
+++ b/bench/measure/dispatch.py
@@ -116,6 +116,7 @@
             lambda: view,
             lambda outcome: None,
             metrics=self.metrics,
+            memory=self.memory,
             tasks=self.tasks,
         )
         await self.clock.sleep(200)
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/answer.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/answer.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from mastickeel.httpmessages import ExchangeBrokenError
+from mastickeel.httpmessages import AnswerTooLargeError, ExchangeBrokenError
 from mastickeel_router.requests import Usage
 from mastickeel_router.sse import EventSplitter, decode_event, event_sequence
 
@@ -14,6 +14,7 @@
     from collections.abc import Awaitable, Callable
 
     from mastickeel.clock import Clock
+    from mastickeel_router.listeners.memory import HeldMemory
     from mastickeel_router.requests import Sink
 
 END_EVENT = b"data: [DONE]\n\n"
@@ -44,7 +45,13 @@
     """
 
     def __init__(
-        self, request_id: str, sink: Sink, clock: Clock, count: Callable[[str], None]
+        self,
+        request_id: str,
+        sink: Sink,
+        clock: Clock,
+        count: Callable[[str], None],
+        *,
+        memory: HeldMemory,
     ) -> None:
         """Creates an answer without any events.
 
@@ -53,6 +60,7 @@
             sink: Receives the accepted events.
             clock: Times the first event.
             count: Counts dropped events, by metric name.
+            memory: Counts the event that is not complete; may drop it to find room for others.
         """
         self.sequence = NOT_STARTED
         """Sequence number of the last accepted event."""
@@ -71,6 +79,8 @@
         self._count = count
         self._finished = False
         self._splitter = EventSplitter()
+        self._memory = memory
+        self._share = memory.open_share(self._splitter.clear)
 
     @property
     def started(self) -> bool:
@@ -84,7 +94,13 @@
 
     def reset_buffer(self) -> None:
         """Discards the incomplete event that an earlier connection left behind."""
-        self._splitter = EventSplitter()
+        self.close()
+        self._share = self._memory.open_share(self._splitter.clear)
+
+    def close(self) -> None:
+        """Discards the incomplete event, and returns its memory."""
+        self._splitter.clear()
+        self._share.close()
 
     def feed(self, chunk: bytes) -> Awaitable[None] | None:
         """Passes the events that a chunk completes on to the sink.
@@ -98,13 +114,25 @@
         Raises:
             AnswerGapError: When a piece is missing.
             AnswerAbortedError: When the engine stopped before the answer was complete.
+            AnswerTooLargeError: When an event is too large, or there is no room for it.
         """
         waiting = None
-        for event in self._splitter.split(chunk):
+        events = self._splitter.split(chunk)
+        if self._splitter.held_bytes != self._share.size:
+            self._hold_event()
+        for event in events:
             if self._accept_if_next(event) or self._process_event(event):
                 waiting = self._sink.write_event(event)
         return waiting
 
+    def _hold_event(self) -> None:
+        """Counts the event that is not complete; raises an error if there is no room for it."""
+        try:
+            self._share.resize(self._splitter.held_bytes)
+        except AnswerTooLargeError:
+            self._splitter.clear()
+            raise
+
     def _accept_if_next(self, event: bytes) -> bool:
         """Accepts an event that is the next piece, as most are, without decoding it."""
         next_sequence = self.sequence + 1
--- a/packages/mastickeel_router/src/mastickeel_router/dispatch/chat.py
+++ b/packages/mastickeel_router/src/mastickeel_router/dispatch/chat.py
@@ -37,6 +37,7 @@
     from mastickeel.model import Endpoint, Version, View
     from mastickeel.tasks import TaskGroup
     from mastickeel_router.dispatch.endpoints import EndpointTable
+    from mastickeel_router.listeners.memory import HeldMemory
     from mastickeel_router.requests import ChatRequest, Choice, Sink
 
 MAX_ENDPOINTS = 3
@@ -103,6 +104,7 @@
         on_outcome: Callable[[Outcome], None],
         *,
         metrics: Metrics,
+        memory: HeldMemory,
         tasks: TaskGroup,
         on_endpoint_lost: Callable[[ChatRequest, str], Awaitable[None]] = _allow_continuation,
         guard: Callable[
@@ -117,6 +119,7 @@
             view: Returns the configuration to check each send against.
             on_outcome: Called with the outcome of each run.
             metrics: Counts resumes and dropped events.
+            memory: Counts the events that are not complete.
             tasks: Runs cancellations in the background.
             on_endpoint_lost: Called with a request and the id of the endpoint lost while running
                 it, before the request is sent to another endpoint; raises to prevent that send.
@@ -131,6 +134,7 @@
         self._view = view
         self._on_outcome = on_outcome
         self._metrics = metrics
+        self._memory = memory
         self._tasks = tasks
         self._on_endpoint_lost = on_endpoint_lost
         self.guard = guard
@@ -161,6 +165,8 @@
             # The code that raised the error may not know of an earlier send.
             error.ran = run.ran
             raise
+        finally:
+            run.close()
 
     async def _run_until_deadline(self, run: _ChatRun, deadline_ms: int | None) -> tuple[Run, ...]:
         """Runs a request until its deadline, if the request has one."""
@@ -214,7 +220,9 @@
         self._sink = sink
         self._clock = dispatcher._clock
         self._count = dispatcher._metrics.count
-        self._answer = AnswerStream(request.id, sink, self._clock, self._count)
+        self._answer = AnswerStream(
+            request.id, sink, self._clock, self._count, memory=dispatcher._memory
+        )
         self._endpoints = dispatcher._endpoints
         self._prefix = compute_prompt_prefix(choice.version_id, request.body)
         self._parts: list[tuple[str, int]] = []
@@ -225,6 +233,10 @@
         """Whether any part of the request has run or may have run."""
         return ExecutionStatus.YES if self._answer.started else self._sent_state
 
+    def close(self) -> None:
+        """Returns the memory of an event that was not complete."""
+        self._answer.close()
+
     async def run(self) -> tuple[Run, ...]:
         """Runs the request on one endpoint after another until the answer is complete."""
         tried_ids: frozenset[str] = frozenset()
--- a/packages/mastickeel_router/src/mastickeel_router/router.py
+++ b/packages/mastickeel_router/src/mastickeel_router/router.py
@@ -212,6 +212,7 @@
             fresh_view,
             self._on_outcome,
             metrics=self.metrics,
+            memory=self.held_memory,
             tasks=self.tasks,
             guard=self.quarantine.guard,
         )
--- a/tests/mastickeel_router/dispatch/test_streams.py
+++ b/tests/mastickeel_router/dispatch/test_streams.py
@@ -100,6 +100,7 @@
             lambda: self.view,
             self.outcomes.append,
             metrics=self.metrics,
+            memory=HeldMemory(Clock(), MEMORY_BYTES),
             tasks=self.tasks,
             on_endpoint_lost=self.record_lost,
         )
@@ -320,7 +321,9 @@
     def setUp(self) -> None:
         self.sink = BufferedSink(make_pieces())
         self.metrics = Metrics()
-        self.answer = AnswerStream("r", self.sink, Clock(), self.metrics.count)
+        self.answer = AnswerStream(
+            "r", self.sink, Clock(), self.metrics.count, memory=HeldMemory(Clock(), MEMORY_BYTES)
+        )
 
     def event(self, sequence: int, text: str, finish: str | None = None, name: str = "r") -> bytes:
         choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
