Forget the task of a request that has ended

Cause: the request kept its task, and a cancelled task keeps its frames, in a cycle until the next collection of garbage; with them the answer that its caller had not read.

Why it works: the task is forgotten when the request ends.

--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -198,6 +198,8 @@
                 raise
             await self._end_with_error(self._timeout_error())
         finally:
+            # A cancelled task keeps its frames, and with them the answer, as long as it is kept.
+            self._work = None
             self._release_answer()
 
     def end(self) -> None:
