Name the kernel's queue length and tell why a stopped request failed

No change of behaviour.

Measured: test_late_requests, test_answers, test_early_answers and test_tunnels pass.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -69,10 +69,8 @@
 """Bytes of an answer that are read at a time."""
 MAX_SKIPPED_ANSWERS = 3
 """Answers to other requests that one exchange skips before the connection is closed."""
-
-
-INT_BYTES = 4
-"""Size of the kernel's answer to a request for the length of a queue."""
+QUEUE_LENGTH_BYTES = 4
+"""Size of the integer in which the kernel returns the length of a queue."""
 
 
 class MonitoredConnection(Protocol):
@@ -630,10 +628,10 @@
 def has_unsent_bytes(sock: socket.socket) -> bool:
     """Returns whether the kernel holds written bytes that the other end has not acknowledged."""
     try:
-        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT_BYTES))
+        length = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(QUEUE_LENGTH_BYTES))
     except OSError:
         return False
-    return int.from_bytes(count, sys.byteorder) > 0
+    return int.from_bytes(length, sys.byteorder) > 0
 
 
 def configure_socket(sock: socket.socket) -> None:
--- a/packages/mastickeel_router/src/mastickeel_router/relay/run.py
+++ b/packages/mastickeel_router/src/mastickeel_router/relay/run.py
@@ -544,10 +544,12 @@
         """Returns the error for a request that has reached its deadline, or this instance's end."""
         stop, now = self._context.planned_stop(), self._context.clock.now()
         is_stopped = self._is_ended or (stop is not None and now >= stop.end_ms)
-        if self._progress.may_have_run:
-            return StoppedError("") if is_stopped else DeadlineError(self._limit_detail)
+        if is_stopped and self._progress.may_have_run:
+            return StoppedError("The grace period of a planned stop is over.")
         if is_stopped:
             return make_stopping_error(self._context)
+        if self._progress.may_have_run:
+            return DeadlineError(self._limit_detail)
         return UnavailableError(
             f"No endpoint accepted the request in time: {self._limit_detail}",
             retry_after_ms=self._jitter(BUSY_RETRY_MS),
