Test a stop of a real process with requests until it is gone

Cause: the tests of late requests drain a gateway in the test's process.

Change: a process gets SIGTERM while callers go on to use kept and new connections, one every 0.1 s. What has been passed on must be answered, all else refused or not accepted.

--- a/tests/mastickeel_platform/test_process.py
+++ b/tests/mastickeel_platform/test_process.py
@@ -14,8 +14,14 @@
 from tests.mastickeel_platform.gateway_case import SETTINGS
 from tests.mastickeel_platform.standins import (
     FakeStore,
+    RawServer,
+    Reply,
+    Request,
+    answer_bytes,
     call,
     configuration,
+    entry,
+    read_reply,
     request_bytes,
     route,
 )
@@ -23,6 +29,11 @@
 TRIES = 400
 UNREAD_REQUESTS = 600
 """Number of requests whose log lines are twice the capacity of a pipe."""
+KEPT = 35
+"""Connections that are kept, one for each step of a stop."""
+STEP_S = 0.1
+WORK_S = 0.4
+"""Time that the endpoint takes for a request."""
 READ_AHEAD_BYTES = 4_096
 """Read-ahead of the test's end of the pipe, in bytes."""
 
@@ -129,6 +140,51 @@
         _, errors = await process.communicate()
         self.assertEqual((process.returncode, "boot.conf" in errors.decode()), (3, True))
 
+    async def test_request_that_was_passed_on_during_a_stop_is_answered(self) -> None:
+        """Callers use kept and new connections until the process is gone."""
+
+        async def work(request: Request, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(WORK_S)
+            writer.write(answer_bytes(request))
+
+        endpoint = RawServer(work)
+        self.store.put("servers/i-1", entry(await endpoint.start()))
+        self.addAsyncCleanup(endpoint.stop)
+        self.store.put(
+            "op/config", configuration(8, route("look", "safe"), route("once", "unsafe"))
+        )
+        text = self.settings.read_text().replace("leave_ms = 10", "leave_ms = 2900")
+        self.settings.write_text(text)
+        process = await self.start_command("serve")
+        port = int(str((await self.read_event(process, "started"))["callers"]))
+        kept = [await asyncio.open_connection("127.0.0.1", port) for _ in range(KEPT)]
+        process.send_signal(signal.SIGTERM)
+        replies: dict[str, asyncio.Task[Reply]] = {}
+        for number, (reader, writer) in enumerate(kept):
+            writer.write(request_bytes("/once/a", f"kept-{number}"))
+            replies[f"kept-{number}"] = asyncio.ensure_future(read_reply(reader))
+            data = request_bytes("/once/a", f"new-{number}")
+            replies[f"new-{number}"] = asyncio.ensure_future(self.call_until_refused(port, data))
+            await asyncio.sleep(STEP_S)
+        assert process.stdout is not None
+        await process.stdout.read()
+        self.assertEqual(await process.wait(), 0)
+        passed_on = {request.id for request in endpoint.requests}
+        statuses = {request_id: (await reply).status for request_id, reply in replies.items()}
+        self.assertEqual({statuses[request_id] for request_id in passed_on}, {200})
+        refused = {statuses[request_id] for request_id in statuses.keys() - passed_on}
+        self.assertLessEqual(refused, {0, 503})
+        self.assertIn(503, refused)
+        for _, writer in kept:
+            writer.close()
+
+    async def call_until_refused(self, port: int, data: bytes) -> Reply:
+        """Sends a request; returns a reply with status 0 when no connection is accepted."""
+        try:
+            return await call(port, data)
+        except ConnectionError:
+            return Reply(0, {}, b"", False)
+
 
 if __name__ == "__main__":
     unittest.main()
