--- a/tests/mastickeel_router/test_router.py
+++ b/tests/mastickeel_router/test_router.py
@@ -4,9 +4,14 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from tests.fleet import Fleet, read_json, stream_events
 
+if TYPE_CHECKING:
+    from mastickeel_standins._engine_http import Exchange
+
 
 class EndToEndTest(unittest.IsolatedAsyncioTestCase):
     """Requests and changes through three routers and the stand-ins."""
@@ -58,6 +63,17 @@
         self.assertEqual(read_json(answer)["echo"], "order 1")
         self.assertEqual(len(self.fleet.register.runs), 1)
 
+    async def test_status_out_of_range_of_a_plain_service_is_no_answer(self) -> None:
+        for status in ("000", "999"):
+            data = f"HTTP/1.1 {status} OK\r\nContent-Length: 4\r\n\r\nbody".encode()
+
+            async def run(exchange: Exchange, data: bytes = data) -> None:
+                await exchange._stream.write(data)
+
+            with patch.object(self.fleet.register, "_run", run), self.subTest(status):
+                answer = await self.fleet.call("/services/order-register/orders", b"order 1")
+                self.assertEqual((answer.status, read_json(answer)["ran"]), (502, "unknown"))
+
     def count_runs(self, version_id: str) -> int:
         """Returns the number of a version's runs over all engines."""
         return sum(engine.runs_by_model[version_id] for engine in self.fleet.engines)
