Test that an event which is given up holds no memory

Cause: the processes of test_crowds_of_answers show the sum, not that the splitter itself lets go.

Change: a test of EventSplitter.clear and held_bytes.

Measured: test_sse passes.

--- a/tests/mastickeel_router/test_sse.py
+++ b/tests/mastickeel_router/test_sse.py
@@ -5,7 +5,8 @@
 import random
 import unittest
 
-from mastickeel_router.sse import EventSplitter, event_sequence
+from mastickeel.httpmessages import AnswerTooLargeError
+from mastickeel_router.sse import MAX_EVENT_BYTES, EventSplitter, event_sequence
 
 
 def split_all(data: bytes, cuts: list[int]) -> tuple[list[bytes], int]:
@@ -45,6 +46,18 @@
                 with self.subTest(line_end=line_end, length=length):
                     self.assertEqual(split_all(first + second[:length], []), ([first], length))
 
+    def test_event_that_is_given_up_holds_no_memory(self) -> None:
+        """Also while the error that ends the stream keeps the splitter."""
+        splitter = EventSplitter()
+        empty_bytes = splitter.held_bytes
+        with self.assertRaises(AnswerTooLargeError):
+            while True:
+                splitter.split(b"x" * 16_384)
+        self.assertGreater(splitter.held_bytes, MAX_EVENT_BYTES)
+        splitter.clear()
+        self.assertEqual((splitter.held_bytes, splitter.pending_bytes), (empty_bytes, 0))
+        self.assertEqual(splitter.split(b"id: 1\n\n"), [b"id: 1\n\n"])
+
     def test_comments_after_the_last_event_belong_to_no_event(self) -> None:
         self.assertEqual(
             split_all(b"data: x\n\n: end\n\n", []), ([b"data: x\n\n", b": end\n\n"], 0)
