--- a/tests/mastickeel/test_heads.py
+++ b/tests/mastickeel/test_heads.py
@@ -143,7 +143,7 @@
     """Heads that stop anywhere; held before issue 66."""
 
     async def test_head_that_stops_anywhere_is_no_answer(self) -> None:
-        head = head_bytes("Attempt-Id: a1", "Connection: close")
+        head = head_bytes("X-Request-Id: a1", "Connection: close")
 
         async def close(sock: socket.socket) -> None:
             sock.close()
