Keep the reports of processes that have ended in the evidence of a release

Cause: the comparison tests the increase of the sum of the reports. A report is cumulative and was kept by instance, so that the report of a restarted process, which begins at zero, replaced that of its predecessor. The sum shrank, and nothing counted until it had passed its old value.

Change: a report names when its counts began, which tells the processes of an instance apart; the last report of each one stays in the sum (releases/reports.py), as do reports that arrive out of order. release_target_compared names the number of processes. An older build sends no such time and is treated as before.

Why it works: counts of one process never shrink and none is taken away, so that the sum grows with each answer.

--- a/packages/mastickeel_router/src/mastickeel_router/releases/evidence.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/evidence.py
@@ -34,10 +34,12 @@
 class _Counts:
     """Counts of one release, by route."""
 
-    def __init__(self, order: ReleaseOrder, since_ms: int) -> None:
+    def __init__(self, order: ReleaseOrder, clock: Clock) -> None:
         self.target = order.target
-        self.since_ms = since_ms
+        self.since_ms = clock.now()
         """Clock time at which the order arrived."""
+        self.began_wall_ms = clock.wall()
+        """Wall-clock time at which the order arrived, in Unix ms; it identifies these counts."""
         self.failures_by_route: dict[str, Block] = {}
         self.slow_by_route_and_pace: dict[Pace, dict[str, Block]] = {
             Pace.SLOW: {},
@@ -72,7 +74,7 @@
 
     def begin(self, order: ReleaseOrder) -> None:
         """Starts the counts of an order anew."""
-        self._counts_by_service[order.service] = _Counts(order, self._clock.now())
+        self._counts_by_service[order.service] = _Counts(order, self._clock)
         self._waiting = deque(
             (one for one in self._waiting if one.observation.endpoint.service != order.service),
             maxlen=MAX_WAITING_ANSWERS,
@@ -139,6 +141,7 @@
             dict(slow[Pace.SLOW]),
             dict(slow[Pace.VERY_SLOW]),
             self._paces.summarize(order.service),
+            counts.began_wall_ms,
         )
 
     def _count_pace(self, answer: SendObservation) -> bool:
@@ -151,20 +154,3 @@
             if answer.counted_pace < limit:
                 counts.add(slow_by_route, answer, pace >= limit)
         return True
-
-
-def sum_reports(reports: Iterable[EvidenceReport]) -> tuple[dict[str, Block], ...]:
-    """Returns the failures, slow and very slow answers of several reports, by route."""
-    failures: dict[str, Block] = {}
-    slow: dict[str, Block] = {}
-    very_slow: dict[str, Block] = {}
-    for report in reports:
-        _add(failures, report.blocks_by_route)
-        _add(slow, report.slow_by_route)
-        _add(very_slow, report.very_slow_by_route)
-    return failures, slow, very_slow
-
-
-def _add(sums_by_route: dict[str, Block], blocks_by_route: dict[str, Block]) -> None:
-    for route, block in blocks_by_route.items():
-        sums_by_route[route] = sums_by_route.get(route, Block()).plus(block)
--- a/packages/mastickeel_router/src/mastickeel_router/releases/model.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/model.py
@@ -55,7 +55,7 @@
 @message("release_evidence")
 @dataclass(frozen=True)
 class EvidenceReport:
-    """Report of one instance on the answers of both versions since the order.
+    """Report of one process of an instance on the answers of both versions since the order.
 
     The counts are cumulative, so that a later report replaces a lost one.
     """
@@ -70,3 +70,6 @@
     """Answers whose pace is known, of which the very slow ones are bad."""
     paces_by_route: dict[str, dict[str, dict[int, int]]] = field(default_factory=dict)
     """Histograms of the usual paces, by route and model."""
+    began_wall_ms: int = 0
+    """Wall-clock time at which the counts began at zero, in Unix ms: tells the processes of an
+    instance apart."""
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -18,13 +18,14 @@
 from mastickeel_router.discovery.feeds import WatchHandler
 from mastickeel_router.duties import Duty, DutyTiming
 from mastickeel_router.releases.decision import ReleaseShares, VersionComparison, advance_plan
-from mastickeel_router.releases.evidence import ReleaseEvidence, sum_reports
+from mastickeel_router.releases.evidence import ReleaseEvidence
 from mastickeel_router.releases.model import (
     EvidenceReport,
     ReleaseOrder,
     ReleasePlan,
     ReleaseState,
 )
+from mastickeel_router.releases.reports import EvidenceReports, sum_reports
 from mastickeel_router.releases.sessions import SessionVersions
 
 if TYPE_CHECKING:
@@ -133,7 +134,8 @@
         self._list_is_older = False
         self._reported_by_service: dict[str, EvidenceReport] = {}
         self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
-        self._evidence_by_instance: dict[tuple[str, str], EvidenceReport] = {}
+        self.reports = EvidenceReports()
+        """Evidence of all instances for and against the targets of running releases."""
         self.sessions = SessionVersions(clock, session_gap_ms)
         """Latest version of each session."""
         self.evidence = ReleaseEvidence(clock)
@@ -189,6 +191,7 @@
         if self._plans_read:
             self._ordered_while_running.add(order.service)
         self.evidence.begin(order)
+        self.reports.retain(order)
         log(
             ORDER_APPLIED,
             service=order.service,
@@ -230,9 +233,7 @@
         self._comparisons_by_service[service] = (order.revision, comparison)
         if plan is not None:
             self._plans_by_service[service] = replace(plan, order_revision=order.revision)
-        for key, evidence in self._evidence_by_instance.items():
-            if key[0] == service and evidence.order_revision == known.revision:
-                self._evidence_by_instance[key] = replace(evidence, order_revision=order.revision)
+        self.reports.renumber(order, known.revision)
         log(ORDER_RENUMBERED, service=service, revision=order.revision, before=known.revision)
 
     def select_endpoints(
@@ -290,7 +291,7 @@
 
     def record_evidence(self, instance_id: str, evidence: EvidenceReport) -> None:
         """Stores an instance's evidence; every instance keeps it because any may lead next."""
-        self._evidence_by_instance[evidence.service, instance_id] = evidence
+        self.reports.record(instance_id, evidence)
 
     def plan_handler(self) -> WatchHandler:
         """Returns the handler of the plans' keys in the store."""
@@ -352,7 +353,7 @@
         was_bad = comparison.is_bad
         plan = self._plan(order.service)
         share = plan.share if plan is not None else 0.0
-        comparison.add_totals(*sum_reports(self._list_reports(order)), share=share)
+        comparison.add_totals(*sum_reports(self.reports.list_reports(order)), share=share)
         if comparison.is_bad and not was_bad:
             log(TARGET_AVOIDED, service=order.service, target=order.target)
         return comparison
@@ -441,7 +442,8 @@
             await self._clock.sleep(REPORT_INTERVAL_MS)
             for service in self._running():
                 order = self._orders_by_service[service]
-                self.evidence.judge(service, self._list_reports(order, of_peers=True))
+                peers = self.reports.list_reports(order, except_instance=self._instance_id)
+                self.evidence.judge(service, peers)
                 self._evaluate(order)
                 evidence = self.evidence.report(order)
                 if evidence == self._reported_by_service.get(service):
@@ -474,6 +476,7 @@
                 service=order.service,
                 target=order.target,
                 evidence=round(comparison.evidence, 2),
+                processes=len(self.reports.list_reports(order)),
                 **asdict(comparison.totals),
                 slow=asdict(comparison.slow_totals),
                 very_slow=asdict(comparison.very_slow_totals),
@@ -493,16 +496,6 @@
             return
         await self._write_plan(key, order, next_plan)
 
-    def _list_reports(self, order: ReleaseOrder, *, of_peers: bool = False) -> list[EvidenceReport]:
-        """Returns the newest reports of all instances, or of the others, on an order."""
-        return [
-            report
-            for (service, instance_id), report in self._evidence_by_instance.items()
-            if service == order.service
-            and report.order_revision == order.revision
-            and not (of_peers and instance_id == self._instance_id)
-        ]
-
     async def _read_plan(self, key: str, order: ReleaseOrder) -> ReleasePlan:
         """Returns the plan from the store, or a new one when the order has none."""
         if (item := await self._store.get(key)) is not None:
--- a/tests/mastickeel_platform/test_fleet.py
+++ b/tests/mastickeel_platform/test_fleet.py
@@ -12,7 +12,7 @@
 from mastickeel_router.placement import WorkSentNotice
 from mastickeel_router.quarantine.reports import REFUSED_AFTER_CRASHES
 from mastickeel_router.relay.types import AnswerHead
-from mastickeel_router.releases import EvidenceReport
+from mastickeel_router.releases import EvidenceReport, ReleaseOrder
 from mastickeel_router.sequential import Block
 from tests.mastickeel_platform.gateway_case import FleetTestCase
 from tests.mastickeel_platform.standins import Request, answer_bytes, call, request_bytes
@@ -98,9 +98,11 @@
         evidence = EvidenceReport("s", 7, {"r": Block()})
         for notify in first.releases.on_report:
             notify(evidence)
-        evidence_maps = [gateway.releases._evidence_by_instance for gateway in others]
+        order = ReleaseOrder("s", "v2", 1_000, 7)
         await self.wait_until(
-            lambda: all(evidence in reports.values() for reports in evidence_maps)
+            lambda: all(
+                evidence in gateway.releases.reports.list_reports(order) for gateway in others
+            )
         )
 
     async def test_limit_named_to_one_is_known_to_all_and_to_a_newcomer(self) -> None:
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -8,7 +8,7 @@
 import random
 import unittest
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from unittest.mock import patch
 
 import msgspec
@@ -30,6 +30,9 @@
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 OLD = EndpointRecord("e1", "s", Address("127.0.0.1", 1), "dc-a", "v1")
 NEW = replace(OLD, id="e2", version="v2")
 ROUTE = Route("r", "h", "/", RouteKind.REPEATABLE, (Split("s", 1),), 1_000, 200)
@@ -112,15 +115,17 @@
             Instance(f"i{number}", self.store, self.clock) for number in range(self.INSTANCES)
         ]
         for instance in self.instances:
-            instance.releases.on_report.append(
-                lambda evidence, instance=instance: self.share_evidence(instance, evidence)
-            )
-            instance.releases.sessions.on_run.append(self.share_session)
+            self.connect(instance)
 
     async def asyncTearDown(self) -> None:
         for instance in self.instances:
             instance.kill()
 
+    def connect(self, instance: Instance) -> None:
+        """Lets an instance share evidence and sessions with the others."""
+        instance.releases.on_report.append(lambda evidence: self.share_evidence(instance, evidence))
+        instance.releases.sessions.on_run.append(self.share_session)
+
     def share_evidence(self, sender: Instance, evidence: EvidenceReport) -> None:
         """Delivers an instance's evidence to the other instances."""
         for instance in self.instances:
@@ -148,6 +153,21 @@
                     elif version:
                         instance.answer(OLD)
 
+    async def find_leader(self) -> Instance:
+        """Returns the instance that holds the duty."""
+        name = (await self.store.range("/m/duties/")).items[0].value.decode()
+        return next(instance for instance in self.instances if instance.name == name)
+
+    def restart(self, killed: Iterable[Instance]) -> None:
+        """Kills instances and starts them again under their names; they find the order listed."""
+        for instance in list(killed):
+            instance.kill()
+            self.instances.remove(instance)
+            started = Instance(instance.name, self.store, self.clock)
+            self.connect(started)
+            self.instances.append(started)
+            started.releases.apply_order(ReleaseOrder("s", "v2", DURATION_MS, 7))
+
     async def state(self) -> str:
         item = await self.store.get("status/s")
         return item.value.decode() if item else ""
@@ -358,6 +378,50 @@
         self.assertEqual(self.releases._orders_by_service["s"].target, "v3")
 
 
+class RestartTest(FleetCase):
+    """Instances are killed and start again while the target turns bad."""
+
+    INSTANCES = 8
+
+    async def play(self, kill_at_ms: int, *, spared: int, kills: int = 1) -> None:
+        """Plays a release whose target turns bad as instances are killed.
+
+        Args:
+            kill_at_ms: Time from the order to the first kill; the target is bad from then on.
+            spared: Number of instances that are not killed; the first one is the leader.
+            kills: Number of kills, one second apart.
+        """
+        self.order()
+        await self.run_for(kill_at_ms)
+        leader = await self.find_leader()
+        self.instances.sort(key=lambda instance: instance is not leader)
+        for _ in range(kills):
+            self.restart(self.instances[spared:])
+            await self.run_for(1_000, bad=True)
+        if not spared:
+            # The lease of the killed holder expires.
+            self.store.delete("/m/duties/releases")
+        await self.run_for(ROLLBACK_MS, bad=True)
+        self.assertEqual(await self.state(), "reverted")
+        self.assertEqual({one.choose(f"r{n}") for one in self.instances for n in range(50)}, {"v1"})
+
+    async def test_kill_of_most_instances_hides_that_the_target_turns_bad(self) -> None:
+        # Issue 69, review/8: the leader compared counts that restarted instances began at 0.
+        await self.play(DURATION_MS // 2, spared=1)
+
+    async def test_kill_of_half_of_the_instances_hides_that_the_target_turns_bad(self) -> None:
+        await self.play(DURATION_MS // 2, spared=4)
+
+    async def test_two_kills_of_most_instances_hide_that_the_target_turns_bad(self) -> None:
+        await self.play(DURATION_MS // 2, spared=1, kills=2)
+
+    async def test_early_kill_of_most_instances_hides_that_the_target_turns_bad(self) -> None:
+        await self.play(4_000, spared=1)
+
+    async def test_kill_of_all_instances_hides_that_the_target_turns_bad(self) -> None:
+        await self.play(DURATION_MS // 2, spared=0)
+
+
 class SlowTargetTest(FleetCase):
     """Streams of a target that is eight times slower."""
 
