Act on the order of a release that the operator has written since a drill

Cause: a new instance reads what another one has kept from before the drill, and then took each listed order that differs for one of the older copy, for good, although the operator had replaced it since. Instances that live through a drill did the same with an order that is written before their first list of the new era. An order that was removed since stayed in force as the kept one, and one that was removed before the drill came back with the copy.

Change: releases/orders.py remembers the orders that were replaced or removed in the last minute. An order of the copy has the revision and the content that it had before, so that one which was not in force was written since. What is kept for new instances names the replaced ones too, and is written anew without what the operator removes, orders and evacuations alike. A kept order that is not written again within a minute ends, as an evacuation does. An ignored order has a record, release_order_outdated.

Why it works: it compares what was read with what was in force instead of inferring its age from the list's.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -76,13 +76,13 @@
 from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
     from mastickeel_router.discovery import EndpointRecord
     from mastickeel_router.gateway.deployment import Deployment
-    from mastickeel_router.gateway.keeping import KeptWrites
+    from mastickeel_router.gateway.keeping import KeptItem, KeptWrites
     from mastickeel_router.gateway.settings import GatewaySettings
     from mastickeel_router.relay.context import SendObservation
     from mastickeel_router.relay.types import AnswerHead
@@ -243,6 +243,7 @@
             tasks=self._tasks,
             list_peers=self._list_recent_peers,
             list_ended=self.registry.list_ended,
+            keeps_replaced=lambda key: bool(deployment.parse_order_key(key)),
             apply=self._apply_lost_writes,
         )
         self.knowledge: StoreKnowledge | None = None
@@ -691,15 +692,28 @@
 
     def _apply_lost_writes(self, kept: KeptWrites, is_listed: bool) -> None:
         """Applies what another instance has kept from before the store lost its newest writes."""
+        self.releases.record_replaced(self._read_orders(kept.replaced))
         for item in kept.items:
-            value = KeyValue(item.key, item.value, item.revision, 0, 0)
-            self._apply_operator_item(value, is_kept=True)
+            self._apply_operator_item(_make_item(item), is_kept=True)
         if is_listed:
             self.releases.begin_era()
             self.evacuations.begin_era()
             self.registry.begin_era()
         self.registry.record_ended(kept.ended_starts_by_id)
 
+    def _read_orders(self, items: Iterable[KeptItem]) -> list[ReleaseOrder]:
+        """Returns the orders of releases among kept values."""
+        orders = []
+        for item in items:
+            try:
+                value = self._deployment.read_operator_item(_make_item(item))
+            except MastickeelError as error:
+                _log_ignored(_make_item(item), error)
+                continue
+            if isinstance(value, ReleaseOrder):
+                orders.append(value)
+        return orders
+
     def _make_entry_handler(self) -> WatchHandler:
         registry, deployment = self.registry, self._deployment
 
@@ -707,9 +721,11 @@
             records = []
             for item in items:
                 try:
-                    records.append(deployment.read_entry(item.key, item.value))
+                    record = deployment.read_entry(item.key, item.value)
                 except MastickeelError as error:
                     _log_ignored(item, error)
+                    continue
+                records.append(record)
             registry.replace(records, revision)
 
         def on_put(item: KeyValue) -> None:
@@ -732,6 +748,11 @@
         )
 
 
+def _make_item(item: KeptItem) -> KeyValue:
+    """Returns a kept value as an item of the store."""
+    return KeyValue(item.key, item.value, item.revision, 0, 0)
+
+
 def _log_ignored(item: KeyValue, error: MastickeelError) -> None:
     """Logs a value that was ignored; the error may quote a part of it."""
     detail = error.detail[:MAX_LOGGED_ERROR]
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -67,6 +67,8 @@
     items: tuple[KeptItem, ...]
     ended_starts_by_id: dict[str, int]
     """Start in Unix ms of each endpoint that was draining or gone."""
+    replaced: tuple[KeptItem, ...] = ()
+    """Values that were replaced or removed shortly before, which the older copy may have."""
 
 
 class LostWrites:
@@ -82,6 +84,7 @@
         tasks: TaskGroup,
         list_peers: Callable[[], Iterable[str]],
         list_ended: Callable[[], Mapping[str, int]],
+        keeps_replaced: Callable[[str], bool],
         apply: Callable[[KeptWrites, bool], None],
     ) -> None:
         """Creates the record without any value.
@@ -94,6 +97,7 @@
             tasks: Runs the write.
             list_peers: Returns the ids of the other instances.
             list_ended: Returns the starts of the endpoints that are draining or gone, by id.
+            keeps_replaced: Tells by its key whether a value's replaced forms are kept too.
             apply: Applies what another instance has kept; its second argument tells whether the
                 operator's and the endpoints' keys are listed after that.
         """
@@ -105,26 +109,47 @@
         self._tasks = tasks
         self._list_peers = list_peers
         self._list_ended = list_ended
+        self._keeps_replaced = keeps_replaced
         self._apply = apply
         self._items_by_key: dict[str, KeptItem] = {}
-        self._kept_era = 0
+        self._replaced_ms_by_item: dict[KeptItem, int] = {}
+        self._removed_keys: set[str] = set()
+        """Keys that the operator has removed in this era."""
+        self._kept: KeptWrites | None = None
+        """The record of this era in the store."""
         self._kept_revision = 0
 
     def record_value(self, item: KeyValue) -> None:
         """Records a value of the operator that is in force."""
+        known = self._items_by_key.get(item.key)
+        if known is not None and known.value != item.value:
+            self._record_replaced(known)
+        self._removed_keys.discard(item.key)
         self._items_by_key[item.key] = KeptItem(item.key, item.value, item.mod_revision)
 
     def remove_value(self, key: str) -> None:
-        """Records that the operator has removed a value."""
-        self._items_by_key.pop(key, None)
+        """Records that the operator has removed a value, which then is kept no longer."""
+        if (known := self._items_by_key.pop(key, None)) is not None:
+            self._record_replaced(known)
+        self._removed_keys.add(key)
+        self._drop_removed()
 
     def begin_era(self) -> None:
         """Writes what is in force when it is this instance's turn, unless another one has."""
         era = self._store.era.number
         assert era is not None
-        kept = KeptWrites(era, tuple(self._items_by_key.values()), dict(self._list_ended()))
+        now = self._clock.now()
+        replaced = (
+            item
+            for item, replaced_ms in self._replaced_ms_by_item.items()
+            if now - replaced_ms < KEEP_SECONDS * 1_000
+        )
+        items = tuple(self._items_by_key.values())
+        kept = KeptWrites(era, items, dict(self._list_ended()), tuple(replaced))
+        self._removed_keys.clear()
+        self._kept = None
         self._kept_revision = 0
-        self._tasks.start(self._keep(kept))
+        self._tasks.start(self._write_in_turn(lambda: kept if self._kept is None else None))
 
     def handler(self) -> WatchHandler:
         """Returns the handler of the key."""
@@ -141,22 +166,56 @@
     def _read(self, item: KeyValue, *, is_listed: bool) -> None:
         """Applies what another instance has kept in this era."""
         self._kept_revision = item.mod_revision
+        self._kept = None
         try:
             kept = decode_json(item.value, KeptWrites)
         except msgspec.MsgspecError as error:
             log(LOST_WRITES_UNREADABLE, key=item.key, error=str(error))
             return
-        if kept.era == self._store.era.number:
-            self._kept_era = kept.era
-            self._apply(kept, is_listed)
+        if kept.era != self._store.era.number:
+            return
+        self._kept = kept
+        self._apply(self._without_removed(kept), is_listed)
+        self._drop_removed()
+
+    def _record_replaced(self, item: KeptItem) -> None:
+        """Remembers a value that was replaced or removed, and forgets those of long ago."""
+        if not self._keeps_replaced(item.key):
+            return
+        now = self._clock.now()
+        for known, replaced_ms in list(self._replaced_ms_by_item.items()):
+            if now - replaced_ms >= KEEP_SECONDS * 1_000:
+                del self._replaced_ms_by_item[known]
+        self._replaced_ms_by_item[item] = now
+
+    def _without_removed(self, kept: KeptWrites) -> KeptWrites:
+        """Returns what is kept without the values that the operator has removed since."""
+        items = tuple(item for item in kept.items if item.key not in self._removed_keys)
+        return replace(kept, items=items)
+
+    def _drop_removed(self) -> None:
+        """Writes the record anew if it has values that the operator has removed since."""
 
-    async def _keep(self, kept: KeptWrites) -> None:
-        """Writes what is in force, after the instances that come first have had their turn."""
+        def make_record() -> KeptWrites | None:
+            if self._kept is None or self._without_removed(self._kept) == self._kept:
+                return None
+            return self._without_removed(self._kept)
+
+        if make_record() is not None:
+            self._tasks.start(self._write_in_turn(make_record))
+
+    async def _write_in_turn(self, make_record: Callable[[], KeptWrites | None]) -> None:
+        """Writes a record after the instances that come first have had their turn.
+
+        Args:
+            make_record: Returns the record; None if it is no longer needed.
+        """
         ids = {self._instance_id, *self._list_peers()}
         turn = rank(self.key, ids).index(self._instance_id) % MAX_TURNS
         await self._clock.sleep(turn * TURN_MS)
-        if self._kept_era >= kept.era:
+        if (kept := make_record()) is None:
             return
+        kept = self._without_removed(kept)
         try:
             lease = await self._store.grant(KEEP_SECONDS)
             unchanged = Compare(self.key, "MOD", self._kept_revision)
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -25,11 +25,12 @@
     ReleasePlan,
     ReleaseState,
 )
+from mastickeel_router.releases.orders import OrderChange, ReleaseOrders
 from mastickeel_router.releases.reports import EvidenceReports, sum_reports
 from mastickeel_router.releases.sessions import SessionVersions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Sequence
+    from collections.abc import Callable, Coroutine, Iterable, Sequence
     from typing import Any
 
     from mastickeel._kvtypes import KeyValue
@@ -57,6 +58,12 @@
     "info",
     "The operator wrote a release's order again after the store had lost it; the release goes on.",
 )
+ORDER_OUTDATED = define_event(
+    2368,
+    "release_order_outdated",
+    "info",
+    "An order was ignored that had been replaced or removed, or that was kept and is known.",
+)
 PLAN_APPLIED = define_event(
     2361, "release_plan", "info", "This instance has read a new share or state of a release."
 )
@@ -125,13 +132,10 @@
         self._clock = clock
         self.shares = shares or ReleaseShares()
         """First shares of a target."""
-        self._orders_by_service: dict[str, ReleaseOrder] = {}
-        self._order_received_ms_by_service: dict[str, int] = {}
+        self._orders = ReleaseOrders(clock, self._store.era)
         self._ordered_while_running: set[str] = set()
-        self._order_eras_by_service: dict[str, int | None] = {}
         self._plans_by_service: dict[str, ReleasePlan] = {}
         self._stored_plans_by_service: dict[str, ReleasePlan] = {}
-        self._list_is_older = False
         self._reported_by_service: dict[str, EvidenceReport] = {}
         self._comparisons_by_service: dict[str, tuple[int, VersionComparison]] = {}
         self.reports = EvidenceReports()
@@ -171,23 +175,17 @@
         Returns:
             Whether the order is in force.
         """
-        known, era = self._orders_by_service.get(order.service), self._store.era.number
-        if is_kept:
-            if known is not None:
-                return False
-            era = None
-        if known is not None:
-            if self._order_eras_by_service[order.service] == era:
-                if known.revision >= order.revision:
-                    return known == order
-            elif known == replace(order, revision=known.revision):
-                self._renumber_order(known, order)
-                return True
-            elif self._list_is_older:
-                return False
-        self._orders_by_service[order.service] = order
-        self._order_eras_by_service[order.service] = era
-        self._order_received_ms_by_service[order.service] = self._clock.now()
+        known = self._orders.get(order.service)
+        change = self._orders.compare(order, is_kept=is_kept)
+        if change is OrderChange.OUTDATED:
+            log(ORDER_OUTDATED, service=order.service, revision=order.revision, kept=is_kept)
+            return False
+        if change is OrderChange.IN_FORCE:
+            return True
+        if change is OrderChange.REPEATED and known is not None:
+            self._renumber_order(known, order)
+            return True
+        self._orders.put(order, is_kept=is_kept, is_predecessor_known=self._plans_read)
         if self._plans_read:
             self._ordered_while_running.add(order.service)
         self.evidence.begin(order)
@@ -198,38 +196,49 @@
             target=order.target,
             duration_ms=order.duration_ms,
             revision=order.revision,
+            kept=is_kept,
         )
         return True
 
+    def order_of(self, service: str) -> ReleaseOrder | None:
+        """Returns the order in force of a service; None without one."""
+        return self._orders.get(service)
+
+    def record_replaced(self, orders: Iterable[ReleaseOrder]) -> None:
+        """Records orders that were replaced or removed, which an older copy may have."""
+        self._orders.record_replaced(orders)
+
     def begin_era(self) -> None:
         """Records that the next list comes from an older copy of the store.
 
-        Orders that it lacks, or that it has in an older form, stay until the operator's next write.
+        Orders that it lacks stay for a time, and those that it has in an older form stay until the
+        operator's next write.
         """
-        self._list_is_older = True
+        self._orders.begin_era()
         self._stored_plans_by_service.clear()
 
     def retain_orders(self, services: set[str]) -> None:
         """Removes the orders of all services that are not in `services`."""
-        if self._list_is_older:
-            self._list_is_older = False
-            return
-        for service in set(self._orders_by_service) - services:
+        for service in self._orders.find_absent(services):
+            self.remove_order(service)
+
+    def remove_lost_orders(self) -> None:
+        """Removes the orders that the store has lost and the operator has not written again."""
+        for service in self._orders.find_lost():
             self.remove_order(service)
 
     def remove_order(self, service: str) -> None:
         """Removes an order that was deleted; a reverted target stays excluded."""
         plan = self._plan(service)
         if plan is None or plan.state is not ReleaseState.REVERTED:
-            self._orders_by_service.pop(service, None)
+            self._orders.remove(service)
 
     def _renumber_order(self, known: ReleaseOrder, order: ReleaseOrder) -> None:
         """Keeps the progress of an order that the operator has written again in a new era."""
         service = order.service
         plan = self._plan(service)
         _, comparison = self._comparisons_by_service.get(service, (0, VersionComparison()))
-        self._orders_by_service[service] = order
-        self._order_eras_by_service[service] = self._store.era.number
+        self._orders.renumber(order)
         self._comparisons_by_service[service] = (order.revision, comparison)
         if plan is not None:
             self._plans_by_service[service] = replace(plan, order_revision=order.revision)
@@ -255,7 +264,7 @@
             failed: Whether a send of the request has failed, which excludes the target version
                 unless the session is pinned to it.
         """
-        order = self._orders_by_service.get(service)
+        order = self._orders.get(service)
         if order is None:
             return records
         old = [record for record in records if record.version != order.target]
@@ -277,7 +286,7 @@
     def record_send(self, observation: SendObservation) -> None:
         """Counts an answer for its version, and whether the answer was bad."""
         service = observation.endpoint.service
-        order = self._orders_by_service.get(service)
+        order = self._orders.get(service)
         is_target = order is not None and observation.endpoint.version == order.target
         if service in self._running():
             self.evidence.record_answer(observation)
@@ -361,20 +370,24 @@
     def _plan(self, service: str) -> ReleasePlan | None:
         """Returns the plan of a service's current order; None when there is none yet."""
         plan = self._plans_by_service.get(service)
-        order = self._orders_by_service.get(service)
+        order = self._orders.get(service)
         if plan is None or order is None or plan.order_revision != order.revision:
             return None
         return plan
 
-    def _running(self) -> list[str]:
-        """Returns the services whose releases are not finished."""
+    def _list_running(self) -> list[ReleaseOrder]:
+        """Returns the orders whose releases are not finished."""
         running = []
-        for service in self._orders_by_service:
-            plan = self._plan(service)
-            if plan is None or plan.state is ReleaseState.RUNNING:
-                running.append(service)
+        for service in self._orders.services:
+            order, plan = self._orders.get(service), self._plan(service)
+            if order is not None and (plan is None or plan.state is ReleaseState.RUNNING):
+                running.append(order)
         return running
 
+    def _running(self) -> list[str]:
+        """Returns the services whose releases are not finished."""
+        return [order.service for order in self._list_running()]
+
     def _wants_target(
         self, request: CallerRequest, order: ReleaseOrder, share: float, pin: str, failed: bool
     ) -> bool:
@@ -393,13 +406,13 @@
         running = self._running()
         return running + [
             service
-            for service in self._orders_by_service
+            for service in self._orders.services
             if service not in running
             and self._plan(service) != self._stored_plans_by_service.get(service)
         ]
 
     def _since_order_ms(self, order: ReleaseOrder) -> int:
-        return self._clock.now() - self._order_received_ms_by_service[order.service]
+        return self._orders.since_ms(order)
 
     def _elapsed_ms(self, order: ReleaseOrder, began_wall_ms: int) -> int:
         """Returns the time since the order; uses wall time only if the order predates this process.
@@ -440,8 +453,9 @@
         """Evaluates the evidence of running releases, and reports this instance's if it changed."""
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
-            for service in self._running():
-                order = self._orders_by_service[service]
+            self.remove_lost_orders()
+            for order in self._list_running():
+                service = order.service
                 peers = self.reports.list_reports(order, except_instance=self._instance_id)
                 self.evidence.judge(service, peers)
                 self._evaluate(order)
@@ -457,8 +471,10 @@
         """Advances each running release while this instance holds the duty."""
         while True:
             for service in self._unsettled():
+                if (order := self._orders.get(service)) is None:
+                    continue
                 try:
-                    await self._advance_release(self._orders_by_service[service])
+                    await self._advance_release(order)
                 except StoreError as error:
                     # The next round reads and writes the plan again.
                     log(ROUND_FAILED, service=service, error=str(error))
--- a/tests/mastickeel_platform/test_stale_instances.py
+++ b/tests/mastickeel_platform/test_stale_instances.py
@@ -78,7 +78,7 @@
         self.store.put(ORDER_KEY, order)
         await self.wait_until(lambda: self.first.table.version == 8)
         await self.wait_until(lambda: len(self.first.registry.usable("register")) == 1)
-        await self.wait_until(lambda: "register" in self.first.releases._orders_by_service)
+        await self.wait_until(lambda: self.first.releases.order_of("register") is not None)
         self.assertEqual(await self.status_of("/new/a"), 200)
         self.assertEqual(await self.status_of("/look/a", "key-2"), 200)
         bodies = {
--- a/tests/mastickeel_platform/test_store_era.py
+++ b/tests/mastickeel_platform/test_store_era.py
@@ -33,6 +33,7 @@
 
 GATEWAY_COUNT = 3
 ORDER_KEY = "op/rollout/register"
+EVACUATION_KEY = "op/evacuate/dc-far"
 STATUS_KEY = "status/rollout/register"
 SEND_COUNT = 30
 
@@ -118,7 +119,7 @@
         revision = self.store.put(ORDER_KEY, order)
         await self.wait_until(lambda: self.store.read(STATUS_KEY) is not None)
         releases = self.gateway.releases
-        releases._comparison(releases._orders_by_service["register"])._found_bad = True
+        releases._comparison(releases.order_of("register"))._found_bad = True
         await self.wait_until(lambda: self.store.read(STATUS_KEY)["state"] == "reverted")
         self.store.restore(copy)
         await self.wait_for_era()
@@ -153,7 +154,7 @@
         for gateway in self.gateways:
             await self.wait_until(lambda gateway=gateway: gateway.table.version == 8)
             releases = gateway.releases
-            releases._comparison(releases._orders_by_service["register"])._found_bad = True
+            releases._comparison(releases.order_of("register"))._found_bad = True
         await self.wait_until(lambda: self.store.read(STATUS_KEY)["state"] == "reverted")
         self.store.restore(copy)
         await self.wait_until(lambda: self.store.read(first._lost_writes.key) is not None)
@@ -169,10 +170,47 @@
         # One instance has written for all; the operator's next write counts again.
         writes = self.store.calls.count("POST /kv-txn")
         self.store.put(ORDER_KEY, order | {"target": "v1"})
+        await self.wait_until(lambda: newcomer.releases.order_of("register").target == "v1")
+        self.assertLess(writes, 10 * GATEWAY_COUNT)
+
+    async def restore_with_order(self) -> dict[str, object]:
+        """Lets the store come back from a copy whose order is then written again; returns it."""
+        for version in ("v1", "v2", "v3"):
+            await self.add_endpoint(respond, version=version)
+        await self.start_fleet(GATEWAY_COUNT)
+        order: dict[str, object] = {"service": "register", "target": "v2", "duration_s": 60}
+        self.store.put(ORDER_KEY, order)
+        self.store.put(EVACUATION_KEY, {"zone": "dc-far"})
         await self.wait_until(
-            lambda: newcomer.releases._orders_by_service["register"].target == "v1"
+            lambda: all(one.releases.order_of("register") for one in self.gateways)
         )
-        self.assertLess(writes, 10 * GATEWAY_COUNT)
+        self.store.restore(self.store.copy())
+        record = self.gateways[0]._lost_writes.key
+        await self.wait_until(lambda: self.store.read(record) is not None)
+        self.store.put(ORDER_KEY, order)
+        return order
+
+    async def test_newcomer_acts_on_an_order_that_was_replaced_since_the_drill(self) -> None:
+        # Issue 69, review/9: the list that has the new order was taken for the older copy.
+        order = await self.restore_with_order()
+        self.store.put(ORDER_KEY, order | {"target": "v3"})
+        newcomer = await self.add_gateway(GATEWAY_COUNT + 1)
+        await self.wait_until(lambda: newcomer.ready)
+        newest = newcomer.releases.order_of("register")
+        self.assertEqual(newest.target if newest else "", "v3")
+
+    async def test_newcomer_acts_on_orders_that_were_removed_since_the_drill(self) -> None:
+        await self.restore_with_order()
+        self.store.delete(ORDER_KEY)
+        self.store.delete(EVACUATION_KEY)
+        record = self.gateways[0]._lost_writes.key
+        await self.wait_until(
+            lambda: {item["key"] for item in self.store.read(record)["items"]} == {"op/config"}
+        )
+        newcomer = await self.add_gateway(GATEWAY_COUNT + 1)
+        await self.wait_until(lambda: newcomer.ready)
+        self.assertIsNone(newcomer.releases.order_of("register"))
+        self.assertEqual(newcomer.evacuations.data_centres, frozenset())
 
     async def test_instances_register_again_when_lease_ids_are_given_out_again(self) -> None:
         copy = self.store.copy()
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -27,6 +27,7 @@
 from mastickeel_router.releases import EvidenceReport, ReleaseOrder, Releases
 from mastickeel_router.releases.decision import VersionComparison
 from mastickeel_router.releases.model import ReleasePlan
+from mastickeel_router.releases.orders import KEPT_MS
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
 
@@ -373,9 +374,37 @@
     def test_older_order_in_the_list_does_not_replace_the_newer_one(self) -> None:
         self.releases.apply_order(ReleaseOrder("s", "v0", DURATION_MS, revision=3))
         self.releases.retain_orders(set())
-        self.assertEqual(self.releases._orders_by_service["s"], self.order)
+        self.assertEqual(self.releases.order_of("s"), self.order)
         self.releases.apply_order(ReleaseOrder("s", "v3", DURATION_MS, revision=5))
-        self.assertEqual(self.releases._orders_by_service["s"].target, "v3")
+        self.assertEqual(self.releases.order_of("s").target, "v3")
+
+    def test_order_replaced_before_the_first_list_of_an_era_is_ignored(self) -> None:
+        # The operator may write before an instance has listed the new era.
+        newer = ReleaseOrder("s", "v3", DURATION_MS, revision=30)
+        self.releases.apply_order(newer)
+        self.releases.retain_orders({"s"})
+        self.assertEqual(self.releases.order_of("s"), newer)
+
+    def test_order_that_was_removed_comes_back_with_the_copy(self) -> None:
+        self.releases.remove_order("s")
+        self.assertFalse(self.releases.apply_order(self.order))
+        self.releases.retain_orders({"s"})
+        self.assertIsNone(self.releases.order_of("s"))
+
+    def test_order_that_was_replaced_comes_back_with_the_copy(self) -> None:
+        self.releases.retain_orders({"s"})
+        newest = self.order
+        for revision, target in ((100, "v3"), (200, "v4"), (300, "v5")):
+            replaced, newest = newest, ReleaseOrder("s", target, DURATION_MS, revision)
+            self.assertTrue(self.releases.apply_order(newest))
+            self.store.era.observe((self.store.era.number or 0) + 1)
+            self.releases.begin_era()
+            self.assertFalse(self.releases.apply_order(replaced))
+            self.releases.retain_orders({"s"})
+            self.assertEqual(self.releases.order_of("s"), newest)
+            # The operator writes it again, and this time it stays.
+            newest = replace(newest, revision=revision + 50)
+            self.assertTrue(self.releases.apply_order(newest))
 
 
 class RestartTest(FleetCase):
@@ -422,6 +451,50 @@
         await self.play(DURATION_MS // 2, spared=0)
 
 
+class KeptOrderTest(unittest.TestCase):
+    """An instance that starts after the store came back from an older copy."""
+
+    KEPT = ReleaseOrder("s", "v2", DURATION_MS, revision=9)
+
+    def start(self, *replaced: ReleaseOrder) -> Releases:
+        """Starts an instance that reads what another one has kept, and then the list."""
+        self.clock = FakeClock()
+        store = MemoryStore()
+        store.era.observe(2)
+        releases = make_releases("i0", store, self.clock)
+        releases.record_replaced(replaced)
+        releases.apply_order(self.KEPT, is_kept=True)
+        releases.begin_era()
+        return releases
+
+    def test_newcomer_acts_on_an_order_that_was_replaced_since_the_drill(self) -> None:
+        # Issue 69, review/9: a listed order that differs from the kept one was taken for older.
+        for revision in (4, 30):
+            releases = self.start(ReleaseOrder("s", "v1", DURATION_MS, revision=3))
+            listed = ReleaseOrder("s", "v3", DURATION_MS, revision)
+            self.assertTrue(releases.apply_order(listed))
+            releases.retain_orders({"s"})
+            self.assertEqual(releases.order_of("s"), listed)
+
+    def test_newcomer_does_not_act_on_the_order_that_the_copy_has(self) -> None:
+        for copied in (ReleaseOrder("s", "v1", DURATION_MS, revision=3), None):
+            releases = self.start(*([copied] if copied else []))
+            if copied:
+                self.assertFalse(releases.apply_order(copied))
+            releases.retain_orders({"s"} if copied else set())
+            self.assertEqual(releases.order_of("s"), self.KEPT)
+
+    def test_kept_order_that_the_operator_does_not_write_again_ends(self) -> None:
+        releases = self.start()
+        releases.retain_orders(set())
+        self.clock._step_to(self.clock.now() + KEPT_MS - 1)
+        releases.remove_lost_orders()
+        self.assertEqual(releases.order_of("s"), self.KEPT)
+        self.clock._step_to(self.clock.now() + 1)
+        releases.remove_lost_orders()
+        self.assertIsNone(releases.order_of("s"))
+
+
 class SlowTargetTest(FleetCase):
     """Streams of a target that is eight times slower."""
 
