Use an endpoint that has registered again before a new instance lists it

An endpoint whose entry was gone before a drill and which has written it again since was not used by an instance that started later, until its next write.

Cause: the new instance takes the whole list for older than what another one has kept of ended endpoints.

Evidence: the test has 0 endpoints instead of 1 on the code before.

Change: an entry with a later revision than the record of what was kept was written in the new era and counts.

Measured: test_store_era passes.

--- a/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/registry.py
@@ -10,7 +10,7 @@
 from mastickeel.logs import log
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
@@ -92,12 +92,26 @@
         self._list_is_older = False
         self._grace_deadline_ms = 0
 
-    def replace(self, records: Iterable[EndpointRecord], revision: int) -> None:
-        """Replaces all entries; removes the endpoints without an entry in `records`."""
+    def replace(
+        self,
+        records: Iterable[EndpointRecord],
+        revision: int,
+        written_since: Collection[str] = (),
+    ) -> None:
+        """Replaces all entries; removes the endpoints without an entry in `records`.
+
+        Args:
+            records: All entries.
+            revision: Revision of the list.
+            written_since: Ids of endpoints whose entries were written after the store came back
+                from an older copy.
+        """
         records_by_id = {
             record.id: record
             for record in records
-            if not self._list_is_older or not self._is_outdated(record)
+            if not self._list_is_older
+            or record.id in written_since
+            or not self._is_outdated(record)
         }
         self._list_is_older = False
         for endpoint_id in list(self._records_by_id):
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -718,7 +718,7 @@
         registry, deployment = self.registry, self._deployment
 
         def on_list(items: tuple[KeyValue, ...], revision: int) -> None:
-            records = []
+            records, written_since = [], set()
             for item in items:
                 try:
                     record = deployment.read_entry(item.key, item.value)
@@ -726,7 +726,9 @@
                     _log_ignored(item, error)
                     continue
                 records.append(record)
-            registry.replace(records, revision)
+                if self._lost_writes.was_written_since(item):
+                    written_since.add(record.id)
+            registry.replace(records, revision, written_since)
 
         def on_put(item: KeyValue) -> None:
             try:
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
@@ -134,6 +134,10 @@
         self._removed_keys.add(key)
         self._drop_removed()
 
+    def was_written_since(self, item: KeyValue) -> bool:
+        """Returns whether an item was certainly written after the store came back."""
+        return self._kept is not None and item.mod_revision > self._kept_revision
+
     def begin_era(self) -> None:
         """Writes what is in force when it is this instance's turn, unless another one has."""
         era = self._store.era.number
--- a/tests/mastickeel_platform/test_store_era.py
+++ b/tests/mastickeel_platform/test_store_era.py
@@ -212,6 +212,21 @@
         self.assertIsNone(newcomer.releases.order_of("register"))
         self.assertEqual(newcomer.evacuations.data_centres, frozenset())
 
+    async def test_newcomer_does_not_use_an_endpoint_that_has_registered_again(self) -> None:
+        await self.start_fleet(GATEWAY_COUNT)
+        await self.add_endpoint(respond)
+        await self.wait_until(lambda: self.gateways[0].registry.usable("register") != [])
+        written = self.store.read("servers/i-1")
+        self.store.delete("servers/i-1")
+        await self.wait_until(lambda: self.gateways[0].registry.usable("register") == [])
+        self.store.restore(self.store.copy())
+        record = self.gateways[0]._lost_writes.key
+        await self.wait_until(lambda: self.store.read(record) is not None)
+        self.store.put("servers/i-1", written)
+        newcomer = await self.add_gateway(GATEWAY_COUNT + 1)
+        await self.wait_until(lambda: newcomer.ready)
+        self.assertEqual(len(newcomer.registry.usable("register")), 1)
+
     async def test_instances_register_again_when_lease_ids_are_given_out_again(self) -> None:
         copy = self.store.copy()
         await self.start_fleet(GATEWAY_COUNT)
