Go on with a release whose order the operator writes again in the new era

Evidence: three tests of EraTest fail on the code before: running, finished, reverted, and an instance that starts.

Change: the same order goes on with a release that is under way or finished, whatever the era; that of a reverted release does so once in the minute after a drill, as the operator writes it again then. The next one begins it anew, as before.

Why it works: what the older copy repeats is told apart from what the operator writes by its revision, which the copy keeps.

--- a/packages/mastickeel_router/src/mastickeel_router/releases/orders.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/orders.py
@@ -24,7 +24,7 @@
     NEW = "new"
     """It replaces the order in force."""
     REPEATED = "repeated"
-    """The operator has written the order in force again, after the store had lost it."""
+    """It is the order in force under another revision; its release goes on."""
     IN_FORCE = "in force"
     OUTDATED = "outdated"
     """It was replaced or removed before."""
@@ -40,6 +40,9 @@
     """Whether this instance knows the order that was in force before, if any."""
     lost_ms: int | None = None
     """Clock time at which a list of a new era lacked the order; None while the store has it."""
+    awaited_until_ms: int = 0
+    """Clock time until which the operator may write the order again because the store came back
+    from an older copy."""
 
 
 class ReleaseOrders:
@@ -76,23 +79,30 @@
         """Returns the time since the order in force of a service was received."""
         return self._clock.now() - self._in_force_by_service[order.service].received_ms
 
-    def compare(self, order: ReleaseOrder, *, is_kept: bool = False) -> OrderChange:
+    def compare(
+        self, order: ReleaseOrder, *, is_kept: bool = False, has_progress: bool = False
+    ) -> OrderChange:
         """Returns what an order that was read means.
 
         Args:
             order: The order.
             is_kept: Whether another instance has kept the order from an earlier era of the store.
+            has_progress: Whether the release of the order in force has a plan and is not reverted;
+                the same order does not begin it anew.
         """
         known = self._in_force_by_service.get(order.service)
         if is_kept:
             return OrderChange.NEW if known is None else OrderChange.OUTDATED
         if known is None:
             return OrderChange.OUTDATED if self._is_of_copy(order, known) else OrderChange.NEW
+        is_same = known.order == replace(order, revision=known.order.revision)
         if known.era == self._era.number:
-            if known.order.revision < order.revision:
-                return OrderChange.NEW
-            return OrderChange.IN_FORCE if known.order == order else OrderChange.OUTDATED
-        if known.order == replace(order, revision=known.order.revision):
+            if known.order.revision >= order.revision:
+                return OrderChange.IN_FORCE if known.order == order else OrderChange.OUTDATED
+            is_awaited = self._clock.now() < known.awaited_until_ms
+            is_repeated = is_same and (has_progress or is_awaited)
+            return OrderChange.REPEATED if is_repeated else OrderChange.NEW
+        if is_same:
             return OrderChange.REPEATED
         return OrderChange.OUTDATED if self._is_of_copy(order, known) else OrderChange.NEW
 
@@ -116,12 +126,15 @@
         )
 
     def renumber(self, order: ReleaseOrder) -> None:
-        """Takes over the revision of an order that the operator has written again."""
+        """Takes over the revision of an order that the operator or the older copy repeats."""
+        known = self._in_force_by_service[order.service]
+        is_of_copy = self._list_is_older and order.revision == known.order.revision
         self._in_force_by_service[order.service] = replace(
-            self._in_force_by_service[order.service],
+            known,
             order=order,
             era=self._era.number,
             lost_ms=None,
+            awaited_until_ms=known.awaited_until_ms if is_of_copy else 0,
         )
 
     def remove(self, service: str) -> None:
@@ -141,6 +154,9 @@
     def begin_era(self) -> None:
         """Records that the next list comes from an older copy of the store."""
         self._list_is_older = True
+        until_ms = self._clock.now() + KEPT_MS
+        for service, known in self._in_force_by_service.items():
+            self._in_force_by_service[service] = replace(known, awaited_until_ms=until_ms)
 
     def find_absent(self, services: Iterable[str]) -> set[str]:
         """Returns the services whose orders a list lacks and the operator has removed.
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -56,7 +56,7 @@
     2366,
     "release_order_renumbered",
     "info",
-    "The operator wrote a release's order again after the store had lost it; the release goes on.",
+    "The operator wrote a release's order again; the release goes on.",
 )
 ORDER_OUTDATED = define_event(
     2368,
@@ -176,7 +176,9 @@
             Whether the order is in force.
         """
         known = self._orders.get(order.service)
-        change = self._orders.compare(order, is_kept=is_kept)
+        plan = self._plan(order.service)
+        has_progress = plan is not None and plan.state is not ReleaseState.REVERTED
+        change = self._orders.compare(order, is_kept=is_kept, has_progress=has_progress)
         if change is OrderChange.OUTDATED:
             log(ORDER_OUTDATED, service=order.service, revision=order.revision, kept=is_kept)
             return False
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -26,7 +26,7 @@
 from mastickeel_router.relay.types import CallerRequest
 from mastickeel_router.releases import EvidenceReport, ReleaseOrder, Releases
 from mastickeel_router.releases.decision import VersionComparison
-from mastickeel_router.releases.model import ReleasePlan
+from mastickeel_router.releases.model import ReleasePlan, ReleaseState
 from mastickeel_router.releases.orders import KEPT_MS
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
@@ -385,6 +385,37 @@
         self.releases.retain_orders({"s"})
         self.assertEqual(self.releases.order_of("s"), newer)
 
+    def write_again(self, revision: int) -> ReleasePlan | None:
+        """Lists the copy's order, and writes it again; returns the plan."""
+        self.releases.apply_order(self.order)
+        self.releases.retain_orders({"s"})
+        self.releases.apply_order(replace(self.order, revision=revision))
+        return self.releases._plan("s")
+
+    def test_release_begins_anew_with_an_order_that_the_copy_has_and_the_operator_writes_again(
+        self,
+    ) -> None:
+        # review/6: the endpoints of the old version have stopped, and the target gets a share.
+        for share, state in ((0.5, ReleaseState.RUNNING), (1.0, ReleaseState.COMPLETE)):
+            self.setUp()
+            self.apply_plan(ReleasePlan("s", "v2", 9, state, share))
+            plan = self.write_again(revision=30)
+            self.assertEqual((plan.share, plan.state) if plan else None, (share, state))
+
+    def test_newcomer_begins_a_finished_release_anew_with_the_same_order(self) -> None:
+        self.releases = make_releases("i1", self.store, FakeClock())
+        self.releases.apply_order(self.order)
+        self.apply_plan(ReleasePlan("s", "v2", 9, ReleaseState.COMPLETE, 1.0))
+        plan = self.write_again(revision=30)
+        self.assertIs(plan.state if plan else None, ReleaseState.COMPLETE)
+
+    def test_reverted_release_begins_anew_only_with_the_second_order_after_a_drill(self) -> None:
+        self.apply_plan(ReleasePlan("s", "v2", 9, ReleaseState.REVERTED))
+        plan = self.write_again(revision=30)
+        self.assertIs(plan.state if plan else None, ReleaseState.REVERTED)
+        self.releases.apply_order(replace(self.order, revision=31))
+        self.assertIsNone(self.releases._plan("s"))
+
     def test_order_that_was_removed_comes_back_with_the_copy(self) -> None:
         self.releases.remove_order("s")
         self.assertFalse(self.releases.apply_order(self.order))
