Keep the crashes of contents and parts in the store

Cause: crashes were known to the memory of processes only, and no process survived. Trials were counted by each instance alone, so that one that had started, or another that ran the next trial, began with the first.

Change: quarantine/kept.py writes the crashes of a content or part that has crashed two endpoints to the store, with its trials, under a lease of the time for which crashes count; the first instance by rank writes, others if it does not. Instances read them with their first list, before they are ready. What completes or expires is removed. A trial is reported to the peers as it begins, and one whose crash is known counts, by the same rule for contents and for parts (count_failed_trials).

Why it works: the records hold what refusals and trials depend on, and each reader adds them as reports of its own.

--- a/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/gateway.py
@@ -50,6 +50,7 @@
 from mastickeel_router.paths.paths import TunnelPeer
 from mastickeel_router.placement import EndpointLoads
 from mastickeel_router.placement.leaving import LeavingShares
+from mastickeel_router.quarantine.kept import CrashRecords
 from mastickeel_router.quarantine.parts import PartSuspicions
 from mastickeel_router.quarantine.reports import CrashReports
 from mastickeel_router.ratelimits import (
@@ -246,6 +247,15 @@
             keeps_replaced=lambda key: bool(deployment.parse_order_key(key)),
             apply=self._apply_lost_writes,
         )
+        self.crash_records = CrashRecords(
+            self.store,
+            self.crashes,
+            self.crashing_parts,
+            prefix=settings.store.prefix,
+            clock=clock,
+            rank_of=self._rank_of,
+        )
+        """Crashes in the store."""
         self.knowledge: StoreKnowledge | None = None
         """What this instance knows of the store; None before the start."""
         self._peer_metrics = Metrics()
@@ -321,6 +331,7 @@
             deployment.entries_prefix: self._make_entry_handler(),
             self.releases.plans_prefix: self.releases.plan_handler(),
             self.releases.duties_prefix: self.releases.duty_handler(),
+            self.crash_records.keys_prefix: self.crash_records.handler(),
         }
         if self._instances is not None:
             handlers_by_prefix[self._instances.entries_prefix] = self._instances.entry_handler()
@@ -331,11 +342,13 @@
             deployment.entries_prefix: "endpoints",
             self.releases.plans_prefix: "releases",
             self.releases.duties_prefix: "duties",
+            self.crash_records.keys_prefix: "crashes",
         }
         self._tasks.start_supervised(self.clock, "report store calls", self.store_calls.run)
         self._tasks.start_supervised(
             self.clock, "sweep callers", lambda: self.listener.run_sweeps(self.clock)
         )
+        self._tasks.start_supervised(self.clock, "keep crashes", self.crash_records.run)
         self.knowledge = self._make_knowledge(combine_handlers(handlers_by_prefix))
         if self._link is not None and self._instances is not None and self.settings.peers:
             await self._link.bind(self.settings.peers.listen)
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
@@ -23,6 +23,7 @@
     TRIAL_DELAYS_MS,
     TRIAL_RETRY_MS,
     ContentRefusedError,
+    count_failed_trials,
 )
 
 if TYPE_CHECKING:
@@ -56,6 +57,10 @@
 """Maximum number of co_occurring that are kept for a crash."""
 MAX_ID_LENGTH = 32
 """Length above which the id of a part is replaced by a hash."""
+MIN_CRASHES_KEPT = 2
+"""Crashes from which those of a part are kept in the store."""
+MAX_KEPT = 100
+"""Maximum number of parts whose crashes are kept in the store, those with the newest crashes."""
 MAX_RESENT = 100
 """Maximum number of reports repeated at a time, newest first."""
 RESENDERS = 3
@@ -168,13 +173,7 @@
 
         Failed trials are counted from the gaps between crashes, which all instances know.
         """
-        gaps_ms = (
-            later - earlier
-            for earlier, later in zip(
-                self.distinct_crashes_ms, self.distinct_crashes_ms[1:], strict=False
-            )
-        )
-        failed = sum(gap_ms >= TRIAL_DELAYS_MS[0] for gap_ms in gaps_ms)
+        failed = count_failed_trials(self.distinct_crashes_ms)
         delay_ms = TRIAL_DELAYS_MS[failed] if failed < len(TRIAL_DELAYS_MS) else CRASH_TTL_MS
         return max(self.distinct_crashes_ms[-1], self.tried_ms or 0) + delay_ms
 
@@ -319,6 +318,20 @@
         """Clears the parts of a prompt that completed on another instance."""
         self._clear(notice.parts)
 
+    def list_kept(self) -> dict[str, tuple[PartCrashReport, ...]]:
+        """Returns the crashes that the store keeps, by a name of the part."""
+        suspects = [
+            suspect
+            for part, suspect in list(self._suspects_by_part.items())
+            if len(suspect.distinct_crashes_ms) >= MIN_CRASHES_KEPT
+            and self._active_suspect(part) is not None
+        ]
+        suspects.sort(key=lambda suspect: -suspect.distinct_crashes_ms[-1])
+        return {
+            xxhash.xxh3_64_hexdigest(suspect.key.encode()): tuple(self._report_crashes(suspect))
+            for suspect in suspects[:MAX_KEPT]
+        }
+
     async def run_resending(self) -> None:
         """Repeats the reports of suspected parts until cancelled."""
         while True:
@@ -327,6 +340,22 @@
                 for callback in self.on_crash:
                     callback(report)
 
+    def _report_crashes(self, suspect: _Suspect) -> list[PartCrashReport]:
+        """Returns the reports of one part's crashes."""
+        now = self._clock.now()
+        proven = (suspect.key,) if suspect.is_proven else ()
+        return [
+            PartCrashReport(
+                (suspect.key,),
+                tuple(crash.contents),
+                lifetime,
+                now - crash.at_ms,
+                tuple(crash.co_occurring.difference((suspect.key,))),
+                proven,
+            )
+            for lifetime, crash in suspect.crashes_by_lifetime.items()
+        ]
+
     def _is_refused(self, suspect: _Suspect, parts: Collection[str]) -> bool:
         """Returns whether a prompt is refused for a part: no part outside of it is the cause."""
         return suspect.exceeds_threshold and not any(
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/reports.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/reports.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -22,7 +23,7 @@
 from mastickeel_router.quarantine.limits import CRASH_TTL_MS, MAX_CONTENTS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from mastickeel.clock import Clock
 
@@ -35,6 +36,12 @@
 requirements allow after the third crash."""
 TRIAL_RETRY_MS = 2_000
 """Retry time while another instance runs a trial; about the duration of a trial."""
+TRIAL_GAP_MS = 9_000
+"""Time between two crashes from which the later one was that of a trial: below the first delay, as
+reports of the same crash differ by the time that they take."""
+KEPT_FROM_CRASHES = 2
+"""Crashes from which those of a content are kept in the store: an endpoint that crashes by itself
+takes many contents with it, each once."""
 MAX_CLEARED = 1_000
 """Number of contents whose last success is kept, to ignore reports of earlier crashes."""
 RESEND_INTERVAL_MS = 1_000
@@ -76,6 +83,8 @@
     however many instances report the crash."""
     age_ms: int
     """Time since the crash."""
+    trials: int = 0
+    """Number of trials of the content since it was first refused."""
 
 
 @message("content_ran")
@@ -100,20 +109,29 @@
 
     crashed_ms_by_lifetime: dict[str, int] = field(default_factory=dict)
     """Time of each crash, by lifetime of the endpoint that crashed."""
-    trials: int = 0
-    """Number of trials on this instance since the content was first refused."""
+    begun_trials: int = 0
+    """Number of trials that are known to have begun since the content was first refused."""
 
     @property
     def last_crash_ms(self) -> int:
         """Time of the last crash."""
         return max(self.crashed_ms_by_lifetime.values())
 
+    @property
+    def trials(self) -> int:
+        """Number of trials since the content was first refused.
+
+        The crashes tell of trials whose begin is not known here.
+        """
+        crashes_ms = sorted(self.crashed_ms_by_lifetime.values())[REFUSED_AFTER_CRASHES - 1 :]
+        return max(self.begun_trials, count_failed_trials(crashes_ms))
+
     @property
     def next_attempt_ms(self) -> int:
         """Time of the next trial or, after the last trial, of the expiry of the crashes."""
-        if self.trials < len(TRIAL_DELAYS_MS):
-            return self.last_crash_ms + TRIAL_DELAYS_MS[self.trials]
-        return self.last_crash_ms + CRASH_TTL_MS
+        trials = self.trials
+        delay_ms = TRIAL_DELAYS_MS[trials] if trials < len(TRIAL_DELAYS_MS) else CRASH_TTL_MS
+        return self.last_crash_ms + delay_ms
 
 
 class CrashReports:
@@ -142,6 +160,10 @@
         """Whether any content is suspected; otherwise no request needs a fingerprint."""
         return bool(self._suspects_by_fingerprint)
 
+    def is_suspected(self, fingerprint: int) -> bool:
+        """Returns whether a content has crashed an endpoint and has not completed since."""
+        return self._active_suspect(fingerprint) is not None
+
     def check(self, fingerprint: int) -> None:
         """Checks whether a content may run; may start a trial of a refused content.
 
@@ -157,8 +179,7 @@
             return
         now = self._clock.now()
         if now >= suspect.next_attempt_ms and self._runs_trial(fingerprint):
-            suspect.trials += 1
-            log(CONTENT_TRIED, content=format_fingerprint(fingerprint), trials=suspect.trials)
+            self._begin_trial(fingerprint, suspect)
             return
         raise ContentRefusedError(
             f"Requests with content {format_fingerprint(fingerprint)} are refused.",
@@ -187,6 +208,7 @@
         suspect = self._active_suspect(report.content)
         if suspect is None:
             suspect = self._suspects_by_fingerprint[report.content] = _Suspect()
+        suspect.begun_trials = max(suspect.begun_trials, report.trials)
         if report.lifetime in suspect.crashed_ms_by_lifetime:
             return
         suspect.crashed_ms_by_lifetime[report.lifetime] = crashed_ms
@@ -215,6 +237,15 @@
         if len(self._cleared_ms_by_fingerprint) > MAX_CLEARED:
             self._cleared_ms_by_fingerprint.popitem(last=False)
 
+    def list_kept(self) -> dict[str, tuple[ContentCrashReport, ...]]:
+        """Returns the crashes that the store keeps, by the content's name."""
+        return {
+            format_fingerprint(fingerprint): tuple(self._list_reports(fingerprint, suspect))
+            for fingerprint, suspect in list(self._suspects_by_fingerprint.items())
+            if len(suspect.crashed_ms_by_lifetime) >= KEPT_FROM_CRASHES
+            and self._active_suspect(fingerprint) is not None
+        }
+
     async def run_resending(self) -> None:
         """Repeats the reports of recent crashes until cancelled."""
         while True:
@@ -223,18 +254,33 @@
                 for callback in self.on_crash:
                     callback(report)
 
+    def _begin_trial(self, fingerprint: int, suspect: _Suspect) -> None:
+        """Records a trial and reports it, so that no other instance counts from the start."""
+        suspect.begun_trials = suspect.trials + 1
+        log(CONTENT_TRIED, content=format_fingerprint(fingerprint), trials=suspect.begun_trials)
+        newest = min(self._list_reports(fingerprint, suspect), key=lambda report: report.age_ms)
+        for callback in self.on_crash:
+            callback(newest)
+
+    def _list_reports(self, fingerprint: int, suspect: _Suspect) -> list[ContentCrashReport]:
+        """Returns the reports of a content's crashes."""
+        now = self._clock.now()
+        return [
+            ContentCrashReport(fingerprint, lifetime, now - crashed_ms, suspect.begun_trials)
+            for lifetime, crashed_ms in suspect.crashed_ms_by_lifetime.items()
+        ]
+
     def _notify_success(self, fingerprint: int) -> None:
         for callback in self.on_success:
             callback(ContentSuccessNotice(fingerprint))
 
     def _recent_crashes(self) -> list[ContentCrashReport]:
         """Returns the crashes whose reports are still repeated."""
-        now = self._clock.now()
         return [
-            ContentCrashReport(fingerprint, lifetime, now - crashed_ms)
+            report
             for fingerprint, suspect in self._suspects_by_fingerprint.items()
-            for lifetime, crashed_ms in suspect.crashed_ms_by_lifetime.items()
-            if now - crashed_ms < RESEND_FOR_MS
+            for report in self._list_reports(fingerprint, suspect)
+            if report.age_ms < RESEND_FOR_MS
         ]
 
     def _active_suspect(self, fingerprint: int) -> _Suspect | None:
@@ -246,6 +292,15 @@
         return suspect
 
 
+def count_failed_trials(crashes_ms: Sequence[int]) -> int:
+    """Returns the number of trials that crashed an endpoint, which all instances know.
+
+    Args:
+        crashes_ms: Times of crashes in ascending order.
+    """
+    return sum(later - earlier >= TRIAL_GAP_MS for earlier, later in pairwise(crashes_ms))
+
+
 def compute_relay_fingerprint(account: str, target: str, body: bytes) -> int:
     """Returns the fingerprint of a relayed request.
 
--- a/tests/mastickeel_router/memorystore.py
+++ b/tests/mastickeel_router/memorystore.py
@@ -91,6 +91,8 @@
         for operation in success:
             if isinstance(operation, Put):
                 self.put(operation.key, operation.value, operation.lease)
+            elif isinstance(operation, Delete) and operation.key in self._items:
+                self.delete(operation.key)
         return TxnResult(True, self._revision)
 
     async def grant(self, ttl_seconds: int) -> int:
