--- a/tests/mastickeel_router/test_router.py
+++ b/tests/mastickeel_router/test_router.py
@@ -7,10 +7,14 @@
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
+from mastickeel_standins.plain import PlainStandin
+from tests.early_answers import UNREAD_ENDS, answer_early, read_nothing
 from tests.fleet import Fleet, read_json, stream_events
+from tests.readers import PlayServer
 
 if TYPE_CHECKING:
     from mastickeel_standins._engine_http import Exchange
+    from tests.readers import Play
 
 
 class EndToEndTest(unittest.IsolatedAsyncioTestCase):
@@ -130,3 +134,54 @@
         refusal = await self.fleet.chat(model="none", headers={"X-Request-Id": "mine-2"})
         self.assertEqual(refusal.headers["X-Request-Id"], "mine-2")
         self.assertEqual(read_json(refusal)["request_id"], "mine-2")
+
+
+class PlayedService(PlainStandin):
+    """A plain service whose connections a test plays."""
+
+    def __init__(self) -> None:
+        super().__init__("order-register")
+        self.play: Play = read_nothing
+        """What is played on each connection."""
+        self._server_of_plays = PlayServer(lambda sock: self.play(sock))
+
+    @property
+    def port(self) -> int:
+        return self._server_of_plays.address.port
+
+    async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
+        self._server_of_plays.start()
+
+    async def stop(self) -> None:
+        await self._server_of_plays.stop()
+
+
+class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A plain service answers while the request's body is still being written."""
+
+    HEADS = (
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.0 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    )
+    UPLOAD = bytes(60_000)
+    """A body that the service does not read."""
+
+    async def start_fleet(self, play: Play) -> Fleet:
+        """Starts a router, which knows no failures, and a service that plays."""
+        service = PlayedService()
+        service.play = play
+        fleet = Fleet(register=service)
+        self.addAsyncCleanup(fleet.stop)
+        await fleet.start()
+        return fleet
+
+    async def test_part_that_ends_before_the_upload_is_read_is_no_answer(self) -> None:
+        # Reports of other operators (issue 69, MIXED), at the door that issue 66 had not tried.
+        for head in self.HEADS:
+            for end in UNREAD_ENDS:
+                fleet = await self.start_fleet(answer_early(f"{head}\r\nhalf".encode(), end))
+                with self.subTest(head, end=end.__name__):
+                    answer = await fleet.call("/services/order-register/orders", self.UPLOAD)
+                    self.assertEqual((answer.status, read_json(answer)["ran"]), (502, "unknown"))
