--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -255,6 +255,12 @@
             instance.releases.retain_orders(set())
             self.assertEqual({instance.choose(f"r{number}") for number in range(100)}, {"v1"})
 
+    async def test_target_turns_bad_once_it_has_all_requests(self) -> None:
+        self.order()
+        await self.run_for(DURATION_MS * 7 // 10)
+        await self.run_for(ROLLBACK_MS, bad=True)
+        self.assertEqual(await self.state(), "reverted")
+
     async def test_bad_target_gets_no_new_requests_while_nobody_holds_the_duty(self) -> None:
         self.order()
         await self.run_for(4_000)
