Name the time for which lost writes count once, and wait after a failed write

Cause: read as a newcomer: three modules named the minute for which what an older copy lacks counts, two the crashes from which they are kept, and end_list, which marks orders as lost, was named like a query. A store that fails was called four times a second while crashes waited to be written.

--- a/packages/mastickeel/src/mastickeel/storeera.py
+++ b/packages/mastickeel/src/mastickeel/storeera.py
@@ -17,6 +17,10 @@
     "The store came back from an older copy: its newest writes and leases are gone.",
 )
 
+KEPT_MS = 60_000
+"""Time for which the writes count that the store has lost, and those are remembered that an older
+copy may repeat: their writers have written again long before."""
+
 
 class StoreEra:
     """Newest era of the store that this instance knows.
--- a/packages/mastickeel_router/src/mastickeel_router/evacuation/evacuations.py
+++ b/packages/mastickeel_router/src/mastickeel_router/evacuation/evacuations.py
@@ -7,6 +7,7 @@
 
 from mastickeel.events import define_event
 from mastickeel.logs import log
+from mastickeel.storeera import KEPT_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -14,10 +15,6 @@
     from mastickeel.clock import Clock
     from mastickeel_router.discovery import EndpointRecord
 
-KEPT_MS = 60_000
-"""Time for which an order stays in force that an older copy of the store lacks: the operator has
-written it again long before."""
-
 EVACUATION_BEGUN = define_event(
     2410,
     "evacuation_begun",
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/keeping.py
@@ -18,6 +18,7 @@
 from mastickeel.keyvalue import Compare, Put
 from mastickeel.logs import log
 from mastickeel.rendezvous import rank
+from mastickeel.storeera import KEPT_MS
 from mastickeel_router.discovery.feeds import WatchHandler
 
 if TYPE_CHECKING:
@@ -28,8 +29,6 @@
     from mastickeel.storeport import Store
     from mastickeel.tasks import TaskGroup
 
-KEEP_SECONDS = 60
-"""Lease of what is kept: the operator and the endpoints have written again long before its end."""
 TURN_MS = 300
 """Time that each instance gives those before it to write: above a slow call and its watch."""
 MAX_TURNS = 10
@@ -146,7 +145,7 @@
         replaced = (
             item
             for item, replaced_ms in self._replaced_ms_by_item.items()
-            if now - replaced_ms < KEEP_SECONDS * 1_000
+            if now - replaced_ms < KEPT_MS
         )
         items = tuple(self._items_by_key.values())
         kept = KeptWrites(era, items, dict(self._list_ended()), tuple(replaced))
@@ -188,7 +187,7 @@
             return
         now = self._clock.now()
         for known, replaced_ms in list(self._replaced_ms_by_item.items()):
-            if now - replaced_ms >= KEEP_SECONDS * 1_000:
+            if now - replaced_ms >= KEPT_MS:
                 del self._replaced_ms_by_item[known]
         self._replaced_ms_by_item[item] = now
 
@@ -221,7 +220,7 @@
             return
         kept = self._without_removed(kept)
         try:
-            lease = await self._store.grant(KEEP_SECONDS)
+            lease = await self._store.grant(KEPT_MS // 1_000)
             unchanged = Compare(self.key, "MOD", self._kept_revision)
             put = Put(self.key, msgspec.json.encode(kept), lease)
             result = await self._store.txn((unchanged,), (put,))
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/kept.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/kept.py
@@ -32,6 +32,8 @@
 """Time that each instance gives those before it to write a record."""
 WRITERS = 3
 """Number of instances that write a record, one after the other if need be."""
+RETRY_MS = 1_000
+"""Time until the next attempt after the store has failed."""
 MAX_RECORDS_WRITTEN = 16
 """Maximum number of records that are written at a time."""
 
@@ -183,6 +185,7 @@
                 await self._write(key, known.get(key), lease)
         except StoreError as error:
             log(CRASHES_NOT_KEPT, keys=due, error=str(error))
+            await self._clock.sleep(RETRY_MS)
 
     def _list_due(self, known: Mapping[str, KeptCrashes]) -> list[str]:
         """Returns the keys whose records differ from the store's for as long as this turn takes."""
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/parts.py
@@ -16,7 +16,7 @@
 from mastickeel.events import define_event
 from mastickeel.logs import log
 from mastickeel.peers import message
-from mastickeel_router.quarantine.limits import CRASH_TTL_MS
+from mastickeel_router.quarantine.limits import CRASH_TTL_MS, MIN_CRASHES_KEPT
 from mastickeel_router.quarantine.reports import (
     RESEND_FOR_MS,
     RESEND_INTERVAL_MS,
@@ -57,8 +57,6 @@
 """Maximum number of co_occurring that are kept for a crash."""
 MAX_ID_LENGTH = 32
 """Length above which the id of a part is replaced by a hash."""
-MIN_CRASHES_KEPT = 2
-"""Crashes from which those of a part are kept in the store."""
 MAX_KEPT = 100
 """Maximum number of parts whose crashes are kept in the store, those with the newest crashes."""
 MAX_RESENT = 100
--- a/packages/mastickeel_router/src/mastickeel_router/quarantine/reports.py
+++ b/packages/mastickeel_router/src/mastickeel_router/quarantine/reports.py
@@ -20,7 +20,7 @@
 from mastickeel.logs import log
 from mastickeel.peers import message
 from mastickeel_router.quarantine.fingerprints import format_fingerprint
-from mastickeel_router.quarantine.limits import CRASH_TTL_MS, MAX_CONTENTS
+from mastickeel_router.quarantine.limits import CRASH_TTL_MS, MAX_CONTENTS, MIN_CRASHES_KEPT
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -39,9 +39,6 @@
 TRIAL_GAP_MS = 9_000
 """Time between two crashes from which the later one was that of a trial: below the first delay, as
 reports of the same crash differ by the time that they take."""
-KEPT_FROM_CRASHES = 2
-"""Crashes from which those of a content are kept in the store: an endpoint that crashes by itself
-takes many contents with it, each once."""
 MAX_CLEARED = 1_000
 """Number of contents whose last success is kept, to ignore reports of earlier crashes."""
 RESEND_INTERVAL_MS = 1_000
@@ -242,7 +239,7 @@
         return {
             format_fingerprint(fingerprint): tuple(self._list_reports(fingerprint, suspect))
             for fingerprint, suspect in list(self._suspects_by_fingerprint.items())
-            if len(suspect.crashed_ms_by_lifetime) >= KEPT_FROM_CRASHES
+            if len(suspect.crashed_ms_by_lifetime) >= MIN_CRASHES_KEPT
             and self._active_suspect(fingerprint) is not None
         }
 
--- a/packages/mastickeel_router/src/mastickeel_router/releases/orders.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/orders.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from mastickeel.storeera import KEPT_MS
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -13,10 +15,6 @@
     from mastickeel.storeera import StoreEra
     from mastickeel_router.releases.model import ReleaseOrder
 
-KEPT_MS = 60_000
-"""Time for which an order stays in force that an older copy of the store lacks, and for which a
-replaced order is remembered: the operator has written again long before."""
-
 
 class OrderChange(Enum):
     """What an order that was read means for the service's order in force."""
@@ -158,8 +156,10 @@
         for service, known in self._in_force_by_service.items():
             self._in_force_by_service[service] = replace(known, awaited_until_ms=until_ms)
 
-    def find_absent(self, services: Iterable[str]) -> set[str]:
-        """Returns the services whose orders a list lacks and the operator has removed.
+    def end_list(self, services: Iterable[str]) -> set[str]:
+        """Ends a list of all orders; returns the services whose orders the operator has removed.
+
+        An order that the older copy lacks is not removed; it counts as lost from then on.
 
         Args:
             services: The services with an order in the list.
--- a/packages/mastickeel_router/src/mastickeel_router/releases/service.py
+++ b/packages/mastickeel_router/src/mastickeel_router/releases/service.py
@@ -221,7 +221,7 @@
 
     def retain_orders(self, services: set[str]) -> None:
         """Removes the orders of all services that are not in `services`."""
-        for service in self._orders.find_absent(services):
+        for service in self._orders.end_list(services):
             self.remove_order(service)
 
     def remove_lost_orders(self) -> None:
--- a/tests/mastickeel_router/evacuation/test_evacuations.py
+++ b/tests/mastickeel_router/evacuation/test_evacuations.py
@@ -6,9 +6,9 @@
 
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
+from mastickeel.storeera import KEPT_MS
 from mastickeel_router.discovery import EndpointRecord
 from mastickeel_router.evacuation import EvacuationOrder, Evacuations
-from mastickeel_router.evacuation.evacuations import KEPT_MS
 
 
 def make_endpoint(data_centre: str) -> EndpointRecord:
--- a/tests/mastickeel_router/releases/test_service.py
+++ b/tests/mastickeel_router/releases/test_service.py
@@ -17,6 +17,7 @@
 from mastickeel.addresses import Address
 from mastickeel.clock import FakeClock
 from mastickeel.keyvalue import KeyValue, Put
+from mastickeel.storeera import KEPT_MS
 from mastickeel_router.discovery import EndpointRecord, follow_prefix
 from mastickeel_router.duties import CAMPAIGN_JITTER_MS, HELD_POLL_INTERVAL_MS
 from mastickeel_router.gateway import Deployment
@@ -27,7 +28,6 @@
 from mastickeel_router.releases import EvidenceReport, ReleaseOrder, Releases
 from mastickeel_router.releases.decision import VersionComparison
 from mastickeel_router.releases.model import ReleasePlan, ReleaseState
-from mastickeel_router.releases.orders import KEPT_MS
 from mastickeel_router.routes import Route, RouteKind, Split
 from tests.mastickeel_router.memorystore import MemoryStore
 
