--- a/tests/mastickeel_platform/gateway_case.py
+++ b/tests/mastickeel_platform/gateway_case.py
@@ -153,6 +153,14 @@
         await gateway.start()
         return gateway
 
+    async def restart_fleet(self) -> None:
+        """Ends all gateways without a drain, and starts as many again under their names."""
+        ended, self.gateways = self.gateways, []
+        for gateway in ended:
+            await gateway.stop()
+        await self.start_fleet(len(ended))
+        await self.wait_until(lambda: all(gateway.ready for gateway in self.gateways))
+
     def peer_ids(self, gateway: Gateway) -> tuple[str, ...]:
         """Returns the ids of the instances that a gateway knows."""
         link: Any = gateway._link
--- a/tests/mastickeel_platform/test_crashing_parts.py
+++ b/tests/mastickeel_platform/test_crashing_parts.py
@@ -103,6 +103,18 @@
             await self.send_prompt(parts)
         await asyncio.sleep(SETTLE_S)
 
+    async def test_refused_part_reaches_endpoints_after_a_kill_of_all_instances(self) -> None:
+        # Issue 69, the cause of review/10: crashes were known to the memory of processes only.
+        await self.crash_endpoints(f"first:30,{CRASHING_PART}")
+        before = self.count_arrivals()
+        await self.restart_fleet()
+        replies = [
+            await self.send_prompt(f"first:30,{CRASHING_PART}") for _ in range(REQUESTS_AFTER)
+        ]
+        self.assertEqual({reply.status for reply in replies}, {503})
+        self.assertEqual(self.count_arrivals(), before)
+        self.assertEqual((await self.send_prompt("first:30")).status, 200)
+
     async def test_requests_that_share_a_crashing_part_stop_reaching_endpoints(self) -> None:
         await self.crash_endpoints(f"first:30,{CRASHING_PART}")
         before = self.count_arrivals()
