Test that a large configuration does not hold up what follows it

Change: the fleets in memory get links with a bandwidth, on which messages and the store's answers wait in turn.

--- a/tests/mastickeel_router/storeview/simulation.py
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -30,6 +30,8 @@
 
 LATENCY_MS = 4
 LINK_MS = 2
+ANSWER_ITEM_BYTES = 150
+"""Bytes of an item in the store's answers beside its value."""
 WATCH_WAIT_MS = 2_000
 WATCH_TIMEOUT_MS = 2_400
 CALL_TIMEOUT_MS = 1_500
@@ -139,6 +141,8 @@
         self.era = StoreEra()
         self.access = Access()
         self.calls: Counter[str] = Counter()
+        self.downlink = Wire(world)
+        """Carries the answers; replaced by that of the instance's link."""
         self._shared = shared
         self._clock = clock
         self._world = world
@@ -209,6 +213,8 @@
 
         try:
             result = await self._world.wait_for(answer(), timeout_ms)
+            # The client's timeouts are for each wait, and not for the whole answer.
+            await self._world.sleep(self.downlink.reserve_ms(_measure_answer(result)))
         except TimeoutError as error:
             raise StoreUnavailableError(f"{kind} did not end") from error
         finally:
@@ -221,6 +227,32 @@
             await asyncio.Event().wait()
 
 
+def _measure_answer(result: Any) -> int:
+    """Returns the bytes of the store's answer, whose values are text in base64."""
+    items = result.items if isinstance(result, RangeResult) else [one[2] for one in result[0]]
+    return sum(ANSWER_ITEM_BYTES + 4 * len(item.value) // 3 for item in items if item is not None)
+
+
+class Wire:
+    """One direction of a network link, on which what is sent waits in turn."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.mbps = 0.0
+        """Bandwidth; 0 without a bound."""
+        self.carried_bytes = 0
+        self._clock = clock
+        self._free_ms = 0.0
+
+    def reserve_ms(self, size: int) -> float:
+        """Returns the time until the last byte of a message has passed, and keeps it for that."""
+        self.carried_bytes += size
+        now = self._clock.now()
+        if not self.mbps:
+            return 0.0
+        self._free_ms = max(now, self._free_ms) + size * 8 / (self.mbps * 1_000)
+        return self._free_ms - now
+
+
 class Network:
     """Links between instances."""
 
@@ -241,6 +273,7 @@
         self.sent_bytes = 0
         self.sent: Counter[str] = Counter()
         self.clock = clock
+        self.uplink, self.downlink = Wire(network.clock), Wire(network.clock)
         self._network = network
         self._handlers_by_type: dict[type[Any], Callable[[str, Any], Awaitable[Any]]] = {}
         self._tasks = TaskGroup()
@@ -251,14 +284,12 @@
 
     def multicast(self, peer_ids: Iterable[str], content: Any) -> None:
         for peer in peer_ids:
-            self._count(content)
             self._tasks.start(self._deliver(peer, content))
 
     def reconnect(self, peer: str) -> None:
         self._network.silent_connections.discard((self.instance_id, peer))
 
     async def request(self, peer: str, content: Any, reply_type: Any, timeout_ms: float) -> Any:
-        self._count(content)
         try:
             reply = await self._network.clock.wait_for(self._deliver(peer, content), timeout_ms)
         except TimeoutError as error:
@@ -271,8 +302,8 @@
         await self._tasks.stop()
 
     async def _deliver(self, peer: str, content: Any) -> Any:
-        await self._network.clock.sleep(LINK_MS)
         receiver = self._network.links_by_id.get(peer)
+        await self._send(receiver, content)
         is_silent = (self.instance_id, peer) in self._network.silent_connections
         if receiver is None or is_silent or self._network.is_cut(self.instance_id, peer):
             await asyncio.Event().wait()
@@ -280,15 +311,20 @@
         await receiver.clock.running.wait()
         reply = await receiver._handlers_by_type[type(content)](self.instance_id, content)
         if reply is not None:
-            receiver._count(reply)
-        await self._network.clock.sleep(LINK_MS)
+            await receiver._send(self, reply)
         return reply
 
-    def _count(self, content: Any) -> None:
+    async def _send(self, receiver: Link | None, content: Any) -> None:
+        """Counts a message, and returns once all of it has arrived."""
         self.sent[type(content).__name__] += 1
         kind, body = encode_content(content)
         envelope = Envelope(1, kind, self.instance_id, 1_000, 0, body)
-        self.sent_bytes += len(msgspec.msgpack.encode(envelope))
+        size = len(msgspec.msgpack.encode(envelope))
+        self.sent_bytes += size
+        delay_ms = self.uplink.reserve_ms(size)
+        if receiver is not None:
+            delay_ms = max(delay_ms, receiver.downlink.reserve_ms(size))
+        await self._network.clock.sleep(LINK_MS + delay_ms)
 
 
 def follow_endpoints(registry: EndpointRegistry) -> WatchHandler:
@@ -310,13 +346,17 @@
 class SimulatedInstance:
     """An instance: its knowledge of the store, and the members that it knows by it."""
 
-    def __init__(self, fleet: SimulatedFleet, number: int, data_centre: str) -> None:
+    def __init__(
+        self, fleet: SimulatedFleet, number: int, data_centre: str, link_mbps: float = 0.0
+    ) -> None:
         self.id = f"edge-{number:03d}"
         self.data_centre = data_centre
         self.clock = FrozenClock(fleet.clock)
         self.link = Link(fleet.network, self.id, self.clock)
+        self.link.uplink.mbps = self.link.downlink.mbps = link_mbps
         self.store = StoreClient(fleet.store, self.clock, fleet.clock)
-        self.member = Member(self.id, data_centre)
+        self.store.downlink = self.link.downlink
+        self.member = Member(self.id, data_centre, link_mbps)
         self.value = b""
         self.loaded_ms: int | None = None
         self.values: list[bytes] = []
@@ -369,7 +409,8 @@
 
     async def _register(self) -> None:
         await self._fleet.clock.sleep(2 * LATENCY_MS)
-        self._fleet.store.put(f"{MEMBERS_PREFIX}{self.id}", self.data_centre.encode())
+        traits = f"{self.data_centre} {self.member.link_mbps}"
+        self._fleet.store.put(f"{MEMBERS_PREFIX}{self.id}", traits.encode())
 
     def _apply_all(self, items: tuple[KeyValue, ...], revision: int) -> None:
         if self.loaded_ms is None:
@@ -385,7 +426,8 @@
         elif item.key.startswith(MEMBERS_PREFIX):
             peer = item.key.removeprefix(MEMBERS_PREFIX)
             if peer != self.id:
-                self._members_by_id[peer] = Member(peer, item.value.decode())
+                data_centre, link_mbps = item.value.decode().split()
+                self._members_by_id[peer] = Member(peer, data_centre, float(link_mbps))
         self.link.peer_ids = tuple(self._members_by_id)
 
     def _remove(self, key: str, revision: int) -> None:
@@ -399,12 +441,20 @@
 class SimulatedFleet:
     """Instances in data centres, with one store."""
 
-    def __init__(self, data_centres: Iterable[int], *, max_age_ms: int = 2_000) -> None:
+    def __init__(
+        self,
+        data_centres: Iterable[int],
+        *,
+        max_age_ms: int = 2_000,
+        link_mbps: Sequence[float] = (0.0,),
+    ) -> None:
         """Creates instances that have not started.
 
         Args:
             data_centres: Number of instances in each data centre.
             max_age_ms: Time within which a change has to be in force.
+            link_mbps: Bandwidths of the links, in turn over the instances of a data centre; 0 for
+                no bound.
         """
         self.clock = FakeClock()
         self.store = SharedStore()
@@ -413,9 +463,10 @@
         self.max_age_ms = max_age_ms
         self.instances: list[SimulatedInstance] = []
         for position, count in enumerate(data_centres):
-            for _ in range(count):
+            for place in range(count):
                 number = len(self.instances)
-                self.instances.append(SimulatedInstance(self, number, f"dc-{position}"))
+                mbps = link_mbps[place % len(link_mbps)]
+                self.instances.append(SimulatedInstance(self, number, f"dc-{position}", mbps))
 
     async def start(self) -> None:
         for instance in self.instances:
--- /dev/null
+++ b/tests/mastickeel_router/storeview/test_large_values.py
@@ -0,0 +1,127 @@
+"""A large value does not hold up what is written after it, and a change costs by its own size."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+from tests.mastickeel_router.storeview.simulation import (
+    CHANGE_KEY,
+    ENDPOINTS_PREFIX,
+    SERVICE,
+    SimulatedFleet,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+APPLY_MS = 3_000
+"""Time within which a change must be in force at each instance."""
+DRAIN_MS = 3_000
+"""Time for which an endpoint may be used after the store has accepted that it leaves."""
+SETTLED_MS = 6_000
+ROUTES = 1_400
+LINK_MBPS = (100.0, 5.0, 10.0, 5.0, 20.0, 5.0)
+FLEET = (13, 12, 12)
+CHANGE_INTERVAL_MS = 2_000
+CHANGES_PER_DAY = 5_400
+CONTROL_BYTES_PER_S = 4_000
+"""What an instance may spend on control when the configuration changes so often."""
+
+
+def make_routes(count: int, seed: int) -> list[dict[str, object]]:
+    """Returns routes whose names, hosts and prefixes are drawn."""
+    rng = random.Random(seed)
+
+    def word(length: int) -> str:
+        return "".join(rng.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=length))
+
+    hosts = [f"{word(6)}.example" for _ in range(20)]
+    return [
+        {
+            "name": f"r-{word(7)}",
+            "host": rng.choice(hosts),
+            "path_prefix": f"/{word(5)}/",
+            "route_type": rng.choice(("safe", "unsafe", "streaming")),
+            "service": f"service-{rng.randrange(3)}",
+            "timeout_ms": rng.choice((1_000, 2_000, 15_000)),
+            "slo_ms": rng.choice((200, 400, 3_000)),
+            "max_attempts": 2,
+            "priority": rng.randrange(4),
+            "public": False,
+            "sticky": True,
+            "resumable": False,
+            "gap_target_ms": 1_000,
+        }
+        for _ in range(count)
+    ]
+
+
+def encode(version: int, routes: Sequence[dict[str, object]]) -> bytes:
+    """Returns a configuration as the operator writes it."""
+    return json.dumps({"version": version, "routes": routes, "limits": {}}).encode()
+
+
+class LargeValueTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        # The debug mode of asyncio records a traceback for each of many thousand calls.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def start_fleet(self) -> SimulatedFleet:
+        fleet = SimulatedFleet(FLEET, max_age_ms=APPLY_MS, link_mbps=LINK_MBPS)
+        self.addAsyncCleanup(fleet.stop)
+        await fleet.start()
+        await fleet.clock.advance(SETTLED_MS)
+        return fleet
+
+    async def check_change(self, fleet: SimulatedFleet, value: bytes) -> None:
+        in_force_ms = await fleet.change(value, limit_ms=APPLY_MS)
+        late = {one.id for one in fleet.instances} - in_force_ms.keys()
+        self.assertEqual(late, set())
+
+    async def test_small_changes_after_a_large_configuration_are_late(self) -> None:
+        """Guards against issue 73: CONFIG after a configuration of 1,400 routes."""
+        fleet = await self.start_fleet()
+        routes = make_routes(ROUTES, seed=1)
+        await self.check_change(fleet, encode(6, routes))
+        for version in range(8, 16, 2):
+            await fleet.clock.advance(CHANGE_INTERVAL_MS)
+            routes[version] = routes[version] | {"service": "service-9"}
+            await self.check_change(fleet, encode(version, routes))
+
+    async def test_endpoint_that_leaves_beside_a_large_configuration_is_used_too_long(self) -> None:
+        """Guards against small news that wait behind large ones (KNOWN-RED 7, DRAIN)."""
+        for after_ms in (0, 100, 300, 900):
+            with self.subTest(after_ms=after_ms):
+                fleet = await self.start_fleet()
+                fleet.store.put(f"{ENDPOINTS_PREFIX}i-1", b"")
+                await fleet.clock.advance(SETTLED_MS)
+                fleet.store.put(CHANGE_KEY, encode(6, make_routes(2 * ROUTES, seed=1)))
+                await fleet.clock.advance(after_ms)
+                fleet.store.delete(f"{ENDPOINTS_PREFIX}i-1")
+                await fleet.clock.advance(DRAIN_MS)
+                users = [one.id for one in fleet.instances if one.endpoints.usable(SERVICE)]
+                self.assertEqual(users, [])
+                await fleet.stop()
+
+    async def test_change_of_one_route_costs_as_much_as_the_configuration(self) -> None:
+        """Guards against whole values for small changes: a node may spend 4 KB/s on control."""
+        fleet = await self.start_fleet()
+        routes = make_routes(ROUTES, seed=1)
+        fleet.store.put(CHANGE_KEY, encode(6, routes))
+        await fleet.clock.advance(3 * APPLY_MS)
+        before = {one.id: one.link.uplink.carried_bytes for one in fleet.instances}
+        interval_ms = 24 * 3_600 * 1_000 // CHANGES_PER_DAY
+        for version in (8, 10):
+            routes[version] = routes[version] | {"service": "service-9"}
+            fleet.store.put(CHANGE_KEY, encode(version, routes))
+            await fleet.clock.advance(interval_ms)
+        sent = [one.link.uplink.carried_bytes - before[one.id] for one in fleet.instances]
+        self.assertLessEqual(max(sent), CONTROL_BYTES_PER_S * 2 * interval_ms // 1_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
