Measure the bytes of a large configuration and of one changed route in memory

Change: the simulation of fleets has a measurement for 9, 77 and 350 instances on links of 5 to 100 Mbit/s.

--- a/tests/mastickeel_router/storeview/simulation.py
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -24,6 +24,7 @@
 from mastickeel_router.discovery import EndpointRecord, EndpointRegistry
 from mastickeel_router.discovery.feeds import WatchHandler, combine_handlers
 from mastickeel_router.storeview import FleetAccess, Member, StoreKnowledge
+from tests.mastickeel_router.storeview.configurations import ROUTES, encode, make_routes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
@@ -50,6 +51,11 @@
 )
 """Instances in each data centre, and the time within which a change has to be in force."""
 
+LARGE_SIZES = (((3, 3, 3), 2_000), ((27, 25, 25), 3_000), ((88, 88, 87, 87), 4_000))
+LINK_MBPS = (100.0, 5.0, 10.0, 5.0, 20.0, 5.0)
+"""Bandwidths of the links of a fleet on small machines."""
+SETTLE_MS = 5_000
+
 
 @dataclass
 class Access:
@@ -529,10 +535,52 @@
     )
 
 
+async def measure_large(data_centres: Sequence[int], max_age_ms: int) -> str:
+    """Returns a line with the bytes of a large configuration and of changes of one of its routes.
+
+    Bytes are those on the links of the instances, also from the store.
+    """
+    fleet = SimulatedFleet(data_centres, max_age_ms=max_age_ms, link_mbps=LINK_MBPS)
+    await fleet.start()
+    await fleet.clock.advance(START_MS)
+    routes = make_routes(ROUTES, seed=1)
+    parts = []
+    for version in range(CHANGES):
+        routes[version] = routes[version] | {"service": "service-9"}
+        before = {one.id: _list_bytes(one) for one in fleet.instances}
+        value = encode(version, routes)
+        times = sorted((await fleet.change(value, limit_ms=max_age_ms)).values())
+        await fleet.clock.advance(SETTLE_MS)
+        received, sent = zip(
+            *(
+                [now - then for now, then in zip(_list_bytes(one), before[one.id], strict=True)]
+                for one in fleet.instances
+            ),
+            strict=True,
+        )
+        if version in (0, CHANGES - 1):
+            parts.append(
+                f"{'large value' if version == 0 else 'one route'}: received"
+                f" {sorted(received)[len(received) // 2]} B (half), {max(received)} (most),"
+                f" sent {max(sent)} (most), in all {sum(received) / 1e6:.2f} MB, in force at"
+                f" {len(times)} after {times[-1] if times else 0} ms"
+            )
+    await fleet.stop()
+    size = len(encode(CHANGES, routes))
+    return f"{len(fleet.instances)} instances, {size} B; " + "; ".join(parts)
+
+
+def _list_bytes(instance: SimulatedInstance) -> tuple[int, int]:
+    """Returns the bytes that an instance has received and sent."""
+    return instance.link.downlink.carried_bytes, instance.link.uplink.carried_bytes
+
+
 def main() -> None:
     """Measures fleets of several sizes."""
     for data_centres, max_age_ms in SIZES:
         print(asyncio.run(measure(data_centres, max_age_ms)), flush=True)
+    for data_centres, max_age_ms in LARGE_SIZES:
+        print(asyncio.run(measure_large(data_centres, max_age_ms)), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/mastickeel_router/storeview/test_large_values.py
+++ b/tests/mastickeel_router/storeview/test_large_values.py
@@ -3,29 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import unittest
 from typing import TYPE_CHECKING
 
+from tests.mastickeel_router.storeview.configurations import ROUTES, encode, make_routes
 from tests.mastickeel_router.storeview.simulation import (
     CHANGE_KEY,
     ENDPOINTS_PREFIX,
+    LINK_MBPS,
     SERVICE,
     SimulatedFleet,
     SimulatedInstance,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
 APPLY_MS = 3_000
 """Time within which a change must be in force at each instance."""
 DRAIN_MS = 3_000
 """Time for which an endpoint may be used after the store has accepted that it leaves."""
 SETTLED_MS = 6_000
-ROUTES = 1_400
-LINK_MBPS = (100.0, 5.0, 10.0, 5.0, 20.0, 5.0)
 FLEET = (13, 12, 12)
 CHANGE_INTERVAL_MS = 2_000
 STORM_GAP_MS = 60
@@ -36,39 +35,6 @@
 """What an instance may spend on control when the configuration changes so often."""
 
 
-def make_routes(count: int, seed: int) -> list[dict[str, object]]:
-    """Returns routes whose names, hosts and prefixes are drawn."""
-    rng = random.Random(seed)
-
-    def word(length: int) -> str:
-        return "".join(rng.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=length))
-
-    hosts = [f"{word(6)}.example" for _ in range(20)]
-    return [
-        {
-            "name": f"r-{word(7)}",
-            "host": rng.choice(hosts),
-            "path_prefix": f"/{word(5)}/",
-            "route_type": rng.choice(("safe", "unsafe", "streaming")),
-            "service": f"service-{rng.randrange(3)}",
-            "timeout_ms": rng.choice((1_000, 2_000, 15_000)),
-            "slo_ms": rng.choice((200, 400, 3_000)),
-            "max_attempts": 2,
-            "priority": rng.randrange(4),
-            "public": False,
-            "sticky": True,
-            "resumable": False,
-            "gap_target_ms": 1_000,
-        }
-        for _ in range(count)
-    ]
-
-
-def encode(version: int, routes: Sequence[dict[str, object]]) -> bytes:
-    """Returns a configuration as the operator writes it."""
-    return json.dumps({"version": version, "routes": routes, "limits": {}}).encode()
-
-
 class LargeValueTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         # The debug mode of asyncio records a traceback for each of many thousand calls.
