--- a/tests/mastickeel_platform/limit_soak.py
+++ b/tests/mastickeel_platform/limit_soak.py
@@ -107,6 +107,10 @@
 )
 EVACUATION_FAULTS = (*("evacuate", "cold") * 4, *STORE_FAULTS)
 CROWD_FAULTS = (*("crowd",) * 8, *STORE_FAULTS)
+LARGE_FAULTS = (*("large", "storm") * 4, *STORE_FAULTS)
+LARGE_ROUTE_COUNTS = (0, 350, 700, 1_400, 2_800)
+STORM_GAP_MS = 60
+STORM_CHANGES = 12
 CROWD_SIZE = 25
 """Members of a crowd, whose bodies stop short: twice the memory that an instance has left."""
 CROWD_FOR_MS = (1_000, 6_000)
@@ -169,6 +173,8 @@
         self._store = FakeStore()
         self._version = FIRST_VERSION
         self._added_routes: dict[str, dict[str, Any]] = {}
+        self._other_routes: list[dict[str, Any]] = []
+        """Routes that only make the configuration large."""
         self._store_faults_ms: list[Span] = []
         self._probes: list[Probe] = []
         self._changes: list[Change] = []
@@ -464,9 +470,12 @@
             "evacuate": self._evacuate,
             "cold": self._cool_endpoint,
             "crowd": self._gather_crowd,
+            "large": self._grow_configuration,
+            "storm": self._storm_configurations,
         }
         if not self._fault_names:
-            del faults["evacuate"], faults["cold"], faults["crowd"]
+            for name in ("evacuate", "cold", "crowd", "large", "storm"):
+                del faults[name]
         limited = (
             [] if self._fault_names else self._endpoints[: self._rng.randint(1, ENDPOINT_COUNT)]
         )
@@ -652,7 +661,7 @@
         instance.faults_ms.append((begin_ms, self._clock.now()))
 
     def _write_configuration(self) -> None:
-        routes = (LOOK_ROUTE, *self._added_routes.values())
+        routes = (LOOK_ROUTE, *self._added_routes.values(), *self._other_routes)
         changes: dict[str, Any] = {}
         if self._plays_evacuations:
             service = configuration(0)["services"][0]
@@ -662,6 +671,29 @@
             changes["limits"] = configuration(0)["limits"] | {"max_body_bytes": BODY_BYTES}
         self._store.put("op/config", configuration(self._version, *routes, **changes))
 
+    async def _grow_configuration(self) -> None:
+        """Gives the configuration other routes, and many more or fewer of them, twice at times."""
+        for _ in range(self._rng.choice((1, 1, 2))):
+            drawn = random.Random(self._rng.random())
+            self._other_routes = [
+                route(f"other-{drawn.getrandbits(64):x}", "safe", public=drawn.random() < 0.5)
+                for _ in range(drawn.choice(LARGE_ROUTE_COUNTS))
+            ]
+            self._version += 1
+            self._write_configuration()
+            await self._clock.sleep(self._rng.uniform(0, 1_000))
+
+    async def _storm_configurations(self) -> None:
+        """Writes configurations in quick succession."""
+        for _ in range(STORM_CHANGES):
+            self._version += 1
+            if self._other_routes:
+                changed = self._rng.randrange(len(self._other_routes))
+                timeout_ms = self._rng.randrange(1_000, 9_000)
+                self._other_routes[changed] |= {"timeout_ms": timeout_ms}
+            self._write_configuration()
+            await self._clock.sleep(STORM_GAP_MS)
+
     async def _operate(self) -> None:
         """Changes the configuration until the run ends."""
         changes: list[asyncio.Task[None]] = []
@@ -896,6 +928,7 @@
     parser.add_argument("--store", action="store_true", help="faults of store and processes only")
     parser.add_argument("--evacuations", action="store_true", help="with cold endpoints")
     parser.add_argument("--crowds", action="store_true", help="with crowds of callers")
+    parser.add_argument("--large", action="store_true", help="with large configurations")
     parser.add_argument("--logs", type=Path, help="folder in which the processes' logs are kept")
     parser.add_argument("--older", help="commit that every second instance runs")
     options = parser.parse_args()
@@ -904,6 +937,8 @@
         fault_names = EVACUATION_FAULTS
     if options.crowds:
         fault_names = CROWD_FAULTS
+    if options.large:
+        fault_names = LARGE_FAULTS
     totals: dict[str, int] = defaultdict(int)
     with tempfile.TemporaryDirectory() as folder:
         older_sources = Path(folder) if options.older else None
