--- a/tests/mastickeel_router/storeview/configurations.py
+++ b/tests/mastickeel_router/storeview/configurations.py
@@ -24,17 +24,17 @@
         {
             "name": f"r-{word(7)}",
             "host": rng.choice(hosts),
-            "path_prefix": f"/{word(5)}/",
-            "route_type": rng.choice(("safe", "unsafe", "streaming")),
+            "prefix": f"/{word(5)}/",
+            "kind": rng.choice(("safe", "unsafe", "streaming")),
             "service": f"service-{rng.randrange(3)}",
             "timeout_ms": rng.choice((1_000, 2_000, 15_000)),
-            "slo_ms": rng.choice((200, 400, 3_000)),
+            "objective_ms": rng.choice((200, 400, 3_000)),
             "max_attempts": 2,
             "priority": rng.randrange(4),
             "public": False,
             "sticky": True,
             "resumable": False,
-            "gap_target_ms": 1_000,
+            "max_event_gap_ms": 1_000,
         }
         for _ in range(count)
     ]
