Keep a watch of the store whose answer is arriving

Cause: an instance that watches gives its watch up when a peer names a revision that it lacks for 300 to 500 ms. A large value takes longer on a slow link: the answer was dropped with its connection and requested again, each time a notice came.

Change: the store's client says whether an answer to the watch is arriving; such a watch is not given up. A connection that goes silent in the middle of an answer still ends after its time-out between bytes.

--- a/packages/mastickeel/src/mastickeel/httpclient.py
+++ b/packages/mastickeel/src/mastickeel/httpclient.py
@@ -520,6 +520,7 @@
         *,
         limit_bytes: int = CALL_LIMIT_BYTES,
         fresh: bool = False,
+        on_head: Callable[[HttpHead], None] = lambda head: None,
     ) -> HttpAnswer:
         """Sends a request and returns its complete answer.
 
@@ -531,6 +532,7 @@
             limit_bytes: Maximum size of the answer's body.
             fresh: Whether to use a connection for this call alone, as for calls whose answer must
                 not be taken for that of an earlier one.
+            on_head: Called with status and headers, when the rest of the answer is still to come.
 
         Returns:
             The answer, with any status.
@@ -545,9 +547,14 @@
         connection = await self.connect(address, timeouts=timeouts, fresh=fresh)
         heads: list[HttpHead] = []
         body = LimitedBody(limit_bytes)
+
+        def receive_head(head: HttpHead) -> None:
+            heads.append(head)
+            on_head(head)
+
         try:
             await connection.exchange(
-                request, on_head=heads.append, on_data=body.append, timeouts=timeouts
+                request, on_head=receive_head, on_data=body.append, timeouts=timeouts
             )
         except ExchangeTimeoutError:
             # What silenced this connection may have silenced the idle ones to the same server.
--- a/packages/mastickeel/src/mastickeel/storeport.py
+++ b/packages/mastickeel/src/mastickeel/storeport.py
@@ -57,6 +57,10 @@
 class WatchableStore(Store, Protocol):
     """A store whose watch can be made to show at once whether the store answers."""
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer to the watch is arriving, so that the store is not silent."""
+
     def watch(
         self, prefix: str, revision: int, *, probe_timeout_ms: int | None = None
     ) -> AsyncIterator[WatchBatch]:
--- a/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
+++ b/packages/mastickeel_router/src/mastickeel_router/discovery/feeds.py
@@ -207,9 +207,13 @@
         self.reopen()
 
     def reopen(self) -> None:
-        """Gives a watch up that may have been lost; the next call shows it at once."""
+        """Gives a watch up that may have been lost; the next call shows it at once.
+
+        One whose answer is arriving is not lost, however long that takes.
+        """
         if (
             self._reading is not None
+            and not self._store.is_receiving
             and not self._reading.done()
             and self._is_watching
             and self._clock.now() - self._call_began_ms >= REOPEN_AFTER_MS
--- a/packages/mastickeel_router/src/mastickeel_router/gateway/counted_store.py
+++ b/packages/mastickeel_router/src/mastickeel_router/gateway/counted_store.py
@@ -49,6 +49,11 @@
         """The era of the wrapped store."""
         return self._store.era
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer to the watch is arriving."""
+        return self._store.is_receiving
+
     def age_ms(self) -> int | None:
         """Returns the time since the store's last answer; None before the first answer."""
         return None if self._last_answer_ms is None else self._clock.now() - self._last_answer_ms
--- a/tests/mastickeel_platform/test_store.py
+++ b/tests/mastickeel_platform/test_store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import random
 import unittest
 from unittest import mock
 
@@ -17,7 +19,8 @@
 from mastickeel.keyvalue import Compare, Delete, Get, Put
 from mastickeel_platform import store
 from mastickeel_platform.store import PlatformStore
-from tests.mastickeel_platform.standins import FakeStore, RawServer, Request
+from mastickeel_router.discovery.feeds import StoreFollower, WatchHandler
+from tests.mastickeel_platform.standins import FakeStore, RawServer, Request, answer_bytes
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
@@ -126,6 +129,43 @@
             async for _ in self.store.watch("p/", 1):
                 pass
 
+    async def test_watch_whose_answer_is_arriving_is_begun_again(self) -> None:
+        """Guards against a large answer that is dropped and requested again (issue 73)."""
+        event = {"key": "a", "value": "eHg=", "revision": 8, "created": 8, "lease": 0}
+        body = json.dumps({"events": [event], "store_revision": 8}).encode()
+        requests: list[str] = []
+
+        async def answer(request: Request, writer: asyncio.StreamWriter) -> None:
+            requests.append(request.target)
+            if "kv-watch" not in request.target:
+                writer.write(answer_bytes(request, b'{"items": [], "store_revision": 7}'))
+                return
+            if len(requests) > 2:
+                await asyncio.sleep(5)
+            writer.write(answer_bytes(request, body)[: -len(body)])
+            for part in (body[:20], body[20:40], body[40:]):
+                await asyncio.sleep(0.15)
+                writer.write(part)
+
+        server = RawServer(answer)
+        self.addAsyncCleanup(server.stop)
+        store = PlatformStore(self.http, Address("127.0.0.1", await server.start()), timeout_ms=300)
+        puts: list[str] = []
+        handler = WatchHandler(
+            lambda items, revision: None,
+            lambda item: puts.append(item.key),
+            lambda key, revision: None,
+        )
+        follower = StoreFollower(store, "", handler, Clock(), random.Random(1))
+        following = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(0.3)
+        self.assertTrue(store.is_receiving)
+        follower.reopen()
+        await asyncio.sleep(0.4)
+        following.cancel()
+        self.assertEqual(puts, ["a"])
+        self.assertEqual(sum("after_revision=7" in target for target in requests), 1, requests)
+
     async def test_refused_write_is_reported_as_not_executed(self) -> None:
         for status in (429, 503):
             self.platform.refusal_status = status
--- a/tests/mastickeel_router/memorystore.py
+++ b/tests/mastickeel_router/memorystore.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self.era = StoreEra()
+        self.is_receiving = False
         self.is_down = False
         self.compacted_revision = 0
         self.watch_polls = 0
--- a/tests/mastickeel_router/storeview/simulation.py
+++ b/tests/mastickeel_router/storeview/simulation.py
@@ -147,6 +147,7 @@
         self.era = StoreEra()
         self.access = Access()
         self.calls: Counter[str] = Counter()
+        self.is_receiving = False
         self.downlink = Wire(world)
         """Carries the answers; replaced by that of the instance's link."""
         self._shared = shared
@@ -220,10 +221,12 @@
         try:
             result = await self._world.wait_for(answer(), timeout_ms)
             # The client's timeouts are for each wait, and not for the whole answer.
+            self.is_receiving = kind == "watch"
             await self._world.sleep(self.downlink.reserve_ms(_measure_answer(result)))
         except TimeoutError as error:
             raise StoreUnavailableError(f"{kind} did not end") from error
         finally:
+            self.is_receiving = False
             # A frozen instance reads an answer only once it has thawed.
             await self._clock.running.wait()
         return result
