Keep earlier values as differences, and count the time without a part over all tries

Cause: found by reading the change once more and by a test of a storm. The history kept each value whole: of values that do not compress, five took all of its room, so that a storm of small changes sent the whole value again. The time without a part began anew with each try, so that an instance that gets no large value, though peers reply, never came to watch by itself. Contents under way were bounded by number and not by bytes, and one that was read on could be dropped first.

Change: the history has each value as the difference from its successor; the time without a part counts since nothing was missing or the last part; contents are bounded by 2 MB, with the one read last kept; a peer that has left is not requested; the size that a reply names is bounded.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/contents.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/contents.py
@@ -14,6 +14,8 @@
     from mastickeel_router.storeview.view import StoreView
 
 MAX_CONTENTS = 8
+MAX_BYTES = 2 * 1024 * 1024
+"""Maximum size of all kept contents but the last one."""
 
 
 @dataclass(frozen=True)
@@ -30,14 +32,18 @@
     """Digest of the data, by which another instance can go on sending it."""
 
 
+_Source = tuple[int, str, int, int]
+"""Era, key, revision and revision of the base."""
+
+
 class ContentCache:
     """Encodes values of a view, and keeps the results that were used last."""
 
     def __init__(self, view: StoreView) -> None:
         """Creates an empty cache."""
         self._view = view
-        self._contents_by_source: dict[tuple[int, str, int, int], EncodedContent] = {}
-        """Contents by era, key, revision and revision of the base, the one used last at the end."""
+        self._contents_by_source: dict[_Source, EncodedContent] = {}
+        """The one used last is at the end."""
 
     def encode(self, item: KeyValue, base_revision: int) -> EncodedContent:
         """Returns an item's value, encoded with an earlier one.
@@ -47,33 +53,41 @@
             base_revision: Revision of the earlier value; 0 for none. One that is not known is not
                 used.
         """
-        base = self._view.find_value(item.key, base_revision) if base_revision else None
-        if base is None or base_revision >= item.mod_revision:
-            base, base_revision = b"", 0
         source = (self._view.era, item.key, item.mod_revision, base_revision)
-        content = self._contents_by_source.pop(source, None)
+        content = self._contents_by_source.get(source)
         if content is None:
-            data = encode_content(item.value, base)
+            base = None
+            if 0 < base_revision < item.mod_revision:
+                base = self._view.find_value(item.key, base_revision)
+            if base is None and base_revision:
+                return self.encode(item, 0)
+            data = encode_content(item.value, base or b"")
+            digest = xxhash.xxh64_intdigest(data)
             content = EncodedContent(
-                item.key,
-                item.mod_revision,
-                item.create_revision,
-                base_revision,
-                data,
-                xxhash.xxh64_intdigest(data),
+                item.key, item.mod_revision, item.create_revision, base_revision, data, digest
             )
-        self._contents_by_source[source] = content
-        if len(self._contents_by_source) > MAX_CONTENTS:
-            del self._contents_by_source[next(iter(self._contents_by_source))]
+        self._keep(source, content)
         return content
 
     def find(self, key: str, digest: int) -> EncodedContent | None:
         """Returns the content of a key with a digest; None if it is not kept."""
-        for (era, *_), content in self._contents_by_source.items():
-            if (era, content.key, content.digest) == (self._view.era, key, digest):
+        for source, content in self._contents_by_source.items():
+            if (source[0], content.key, content.digest) == (self._view.era, key, digest):
+                self._keep(source, content)
                 return content
         return None
 
+    def _keep(self, source: _Source, content: EncodedContent) -> None:
+        """Keeps a content as the one used last, and drops those of long ago beyond the limits."""
+        contents = self._contents_by_source
+        contents.pop(source, None)
+        contents[source] = content
+        while len(contents) > 1 and (
+            len(contents) > MAX_CONTENTS
+            or sum(len(one.data) for one in contents.values()) > MAX_BYTES
+        ):
+            del contents[next(iter(contents))]
+
     def find_base(self, key: str, known_revision: int) -> int:
         """Returns the revision of the value that a peer has; 0 if that value is not known.
 
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/encoding.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/encoding.py
@@ -11,7 +11,7 @@
 from mastickeel.errors import MastickeelError
 
 LEVEL = 3
-MAX_DECODED_BYTES = 16 * 1024 * 1024
+MAX_DECODED_BYTES = 8 * 1024 * 1024
 """Size above which content is not decoded."""
 
 
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -225,7 +225,8 @@
 
     def _choose_sender(self, present: str) -> str | None:
         """Returns who sends the next part: the present sender, or a watcher once it is late."""
-        return present if present not in self._list_suspected() else self._choose_watcher()
+        is_usable = present in self._link.peer_ids and present not in self._list_suspected()
+        return present if is_usable else self._choose_watcher()
 
     def _choose_watcher(self) -> str | None:
         return choose_watcher(self._own.id, self._rank_own(), self._list_suspected())
@@ -337,8 +338,7 @@
             self._suspect(peer)
             return False
         self._suspected_until_ms.pop(peer, None)
-        if self._transfers.stalled_ms <= self._timing.patience_ms:
-            self._heard_ms = now
+        self._heard_ms = max(self._heard_ms, now - self._transfers.stalled_ms)
         return True
 
     def _read(self, peer: str, reply: ChangesReply | None) -> Changes | None:
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/transfers.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/transfers.py
@@ -14,7 +14,11 @@
 from mastickeel.logs import log
 from mastickeel.peermessages import message
 from mastickeel.peers import PeerRefusedError, PeerTimeoutError
-from mastickeel_router.storeview.encoding import UndecodableContentError, decode_content
+from mastickeel_router.storeview.encoding import (
+    MAX_DECODED_BYTES,
+    UndecodableContentError,
+    decode_content,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -176,20 +180,21 @@
 
     @property
     def stalled_ms(self) -> int:
-        """Time since the last part while values are missing; 0 while none is."""
+        """Time without a part while values are missing; 0 while none is."""
         if not self._view.missing_revisions_by_key:
             return 0
         return self._clock.now() - self._progress_ms
 
     def start(self, peer: str) -> None:
         """Requests the missing values in the background, first from a peer that has named them."""
-        if not self._is_running and self._view.missing_revisions_by_key:
+        if not self._view.missing_revisions_by_key:
+            self._progress_ms = self._clock.now()
+        elif not self._is_running:
             self._is_running = True
             self._tasks.start(self._run(peer))
 
     async def _run(self, peer: str) -> None:
         """Receives the missing values one after the other, each once."""
-        self._progress_ms = self._clock.now()
         requested_by_key: dict[str, int] = {}
         try:
             while pending := self._view.missing_revisions_by_key.items() - requested_by_key.items():
@@ -232,7 +237,8 @@
         """Returns whether a reply is a part of a newer value than the own one."""
         held = self._view.get(key)
         is_newer = held is None or reply.revision > held.mod_revision
-        return reply.era == self._view.era and is_newer and bool(reply.data)
+        is_bounded = reply.offset + len(reply.data) <= reply.size <= MAX_DECODED_BYTES
+        return reply.era == self._view.era and is_newer and is_bounded and bool(reply.data)
 
     async def _request(self, key: str, peer: str, received: _Received | None) -> ValueReply | None:
         """Requests the next part from a peer; returns None without a reply."""
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -179,9 +179,9 @@
     def find_value(self, key: str, revision: int) -> bytes | None:
         """Returns the value that a key had from a revision on; None if it is not known."""
         item = self._items_by_key.get(key)
-        if item is not None and item.mod_revision == revision:
-            return item.value
-        return self.history.find(key, revision)
+        if item is None or item.mod_revision == revision:
+            return None if item is None else item.value
+        return self.history.find(item, revision)
 
     def changes_after(self, revision: int, seen_revision: int) -> Changes:
         """Returns the changes after a revision, without those that have been seen.
@@ -351,7 +351,7 @@
         merged = {
             item.key: item
             for item in items
-            if (self._is_news(item.key, item.mod_revision) if is_older else self._is_left(item))
+            if (self._is_news(item.key, item.mod_revision) if is_older else self._is_present(item))
         }
         for key, known in self._items_by_key.items():
             is_kept = known.mod_revision > revision or (is_older and key not in removed)
@@ -359,8 +359,8 @@
                 merged[key] = known
         return tuple(merged.values())
 
-    def _is_left(self, item: KeyValue) -> bool:
-        """Returns whether an item is not known to have been removed since."""
+    def _is_present(self, item: KeyValue) -> bool:
+        """Returns whether an item is not known to have been removed since it was written."""
         removal = self._removals_by_key.get(item.key)
         return removal is None or removal.revision < item.mod_revision
 
@@ -422,11 +422,12 @@
         self._removals_by_key.pop(item.key, None)
         known = self._items_by_key.get(item.key)
         if known is not None and known.mod_revision < item.mod_revision:
-            self.history.record(known)
+            self.history.record(known, item)
         self._items_by_key[item.key] = item
 
     def _record_removal(self, removal: Removal) -> None:
         self._items_by_key.pop(removal.key, None)
+        self.history.remove(removal.key)
         self._removals_by_key.pop(removal.key, None)
         self._removals_by_key[removal.key] = removal
         if len(self._removals_by_key) > MAX_REMOVALS:
--- a/tests/mastickeel_router/storeview/test_transfers.py
+++ b/tests/mastickeel_router/storeview/test_transfers.py
@@ -209,6 +209,30 @@
         await self.clock.advance(2 * RETRY_DELAY_MS)
         self.assertEqual(self.value(), other)
 
+    async def test_time_without_a_part_goes_on_with_further_news(self) -> None:
+        """An instance that gets no large value has to watch by itself, also if peers reply."""
+        self.write(11, bytes(SIZE), "b")
+        self.transfers.start("a")
+        self.suspected.update("bc")
+        for _ in range(8):
+            self.name_value(11)
+            await self.clock.advance(500)
+        self.assertGreaterEqual(self.transfers.stalled_ms, 3_500)
+
+    async def test_storm_of_changes_while_a_value_arrives(self) -> None:
+        rng = random.Random(1)
+        value = rng.randbytes(SIZE)
+        self.write(11, value)
+        self.name_value(11)
+        for revision in range(12, 40):
+            await self.clock.advance(1)
+            value = bytes([revision]) + value[1:]
+            self.write(revision, value)
+            self.name_value(revision)
+        await self.clock.advance(50)
+        self.assertEqual(self.value(), value)
+        self.assertLess(self.peers.received_bytes, 1.2 * SIZE)
+
     async def test_parts_that_do_not_fit_together(self) -> None:
         """Any reply of a peer ends the request, not the process."""
         value = random.Random(1).randbytes(SIZE)
@@ -218,6 +242,7 @@
             ValueReply(1, 11, 11, 9, 7, 50, 0, b"x" * 50),
             ValueReply(1, 11, 11, 0, 7, 50, 20, b"x" * 30),
             ValueReply(1, 11, 11, 0, 7, 10, 0, b"x" * 50),
+            ValueReply(1, 11, 11, 0, 7, 2**60, 0, b"x" * 50),
         ]
 
         async def answer(sender: str, request: ValueRequest) -> ValueReply:
@@ -227,8 +252,9 @@
             return replies.pop()
 
         self.peers.answers_by_peer["a"] = answer
-        self.name_value(11)
-        await self.clock.advance(5_000)
+        for _ in range(2):
+            self.name_value(11)
+            await self.clock.advance(5_000)
         self.assertEqual(self.value(), value)
 
 
