--- a/tests/mastickeel_platform/simulation.py
+++ b/tests/mastickeel_platform/simulation.py
@@ -10,10 +10,18 @@
 
 from tornado.httputil import HTTPHeaders
 
-from mastickeel.httpmessages import ExchangeTimeoutError, HttpAnswer, HttpRequest, Timeouts
+from mastickeel.httpmessages import (
+    ExchangeTimeoutError,
+    HttpAnswer,
+    HttpHead,
+    HttpRequest,
+    Timeouts,
+)
 from tests.mastickeel_platform.standins import FakeStore, Request
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mastickeel.addresses import Address
     from mastickeel.clock import Clock
 
@@ -38,16 +46,23 @@
         self._clock = clock
 
     async def call(
-        self, address: Address, request: HttpRequest, timeouts: Timeouts | None = None
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeouts: Timeouts | None = None,
+        *,
+        on_head: Callable[[HttpHead], None] = lambda head: None,
     ) -> HttpAnswer:
         """Executes a call; raises a timeout when it is lost."""
         self.calls += 1
         limit_ms = timeouts.first_byte_ms if timeouts else math.inf
         limit_ms = math.ceil(limit_ms / SWEEP_MS) * SWEEP_MS
         try:
-            return await self._clock.wait_for(self._execute(request), limit_ms)
+            answer = await self._clock.wait_for(self._execute(request), limit_ms)
         except TimeoutError as error:
             raise ExchangeTimeoutError(f"{request.path} did not end.") from error
+        on_head(HttpHead(answer.status, answer.headers))
+        return answer
 
     async def _execute(self, request: HttpRequest) -> HttpAnswer:
         url = urlsplit(request.path)
