Take an outage that a watcher sees alone for none

Cause: keys that go around an outage may be those of live owners, and are kept for 2.5 s. A follower takes an outage from its watcher if one other watcher has seen it too. Two watchers that are cut off from the store get its changes from peers, so that their knowledge is recent and they are not passed over; each says that the outage lasts, and so confirms the other's.

Change: a watcher that hears from a peer without an outage that the store has answered it since, and not long ago, names no outage: the store has removed nothing because of one instance.

Measured: that test passes, with those of storeview.

--- a/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/exchange.py
@@ -327,6 +327,8 @@
             await self._confirm_outage(peer, reply)
         now = self._clock.now()
         age_ms = reply.age_ms + now - begin_ms
+        if reply.outage_age_ms is None:
+            self._view.record_peer_contact(now - age_ms)
         revision = self._view.revision
         self._view.apply_peer_changes(peer, changes, age_ms, now - begin_ms, measure_reply(reply))
         self._transfers.start(peer)
--- a/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
+++ b/packages/mastickeel_router/src/mastickeel_router/storeview/view.py
@@ -26,6 +26,9 @@
 """Time after an outage of the store in which keys may be removed because of it."""
 OUTAGE_STEP_MS = 250
 """Difference up to which two ends of an outage, as peers tell them, are those of one outage."""
+PEER_CONTACT_MS = 2_500
+"""Time for which an answer of the store to a peer shows that the store serves others: above the
+time that a watch waits for changes."""
 MAX_REMOVALS = 1_024
 """Maximum number of removed keys that are remembered for peers; older ones need a whole copy."""
 
@@ -123,6 +126,9 @@
         """Revision after which no removal is missing."""
         self._confirmed_ms: int | None = None
         self._is_down = False
+        self._outage_began_ms = 0
+        self._peer_contact_ms = 0
+        """Newest known time at which the store answered a peer that had seen no outage."""
         self._outage_end: OutageEnd | None = None
 
     def handler(self) -> WatchHandler:
@@ -144,10 +150,11 @@
     def outage_age_ms(self) -> int | None:
         """Returns the time since the newest outage of the store, 0 while it lasts; None for none.
 
-        An outage is known from the own calls or from peers.
+        An outage is known from the own calls or from peers. One of this instance alone is none:
+        the store has removed nothing because of it.
         """
         if self._is_down:
-            return 0
+            return None if self._is_alone_in_outage else 0
         if self._outage_end is None:
             return None
         age_ms = self._clock.now() - self._outage_end.at_ms
@@ -228,6 +235,20 @@
             self._handler.on_outage()
             self._handler.on_recovery(end)
 
+    def record_peer_contact(self, at_ms: int) -> None:
+        """Records that the store answered a peer that has seen no outage.
+
+        Args:
+            at_ms: Clock time of the answer.
+        """
+        self._peer_contact_ms = max(self._peer_contact_ms, at_ms)
+
+    @property
+    def _is_alone_in_outage(self) -> bool:
+        """Whether the store answers peers while it does not answer this instance."""
+        since_ms = max(self._outage_began_ms + OUTAGE_STEP_MS, self._clock.now() - PEER_CONTACT_MS)
+        return self._peer_contact_ms > since_ms
+
     def apply_peer_changes(
         self, peer: str, changes: Changes, age_ms: int, took_ms: int = 0, size: int = 0
     ) -> None:
@@ -320,11 +341,13 @@
 
     def _begin_outage(self) -> None:
         self._is_down = True
+        self._outage_began_ms = self._clock.now()
         self._handler.on_outage()
 
     def _end_outage(self, end: OutageEnd) -> None:
         self._is_down = False
-        self._outage_end = end
+        if not self._is_alone_in_outage:
+            self._outage_end = end
         self._handler.on_recovery(end)
 
     def _apply_list(self, items: tuple[KeyValue, ...], revision: int) -> None:
--- a/tests/mastickeel_router/storeview/test_watchers.py
+++ b/tests/mastickeel_router/storeview/test_watchers.py
@@ -236,6 +236,23 @@
                     used_ms = await self.measure_removal(fleet, cut_watches, after_ms)
                     self.assertLessEqual(used_ms, DRAIN_MS)
 
+    async def test_two_watchers_that_are_cut_off_confirm_each_others_outage(self) -> None:
+        """An endpoint that left was used for 2,140 ms (hunted berths, seed 923326905201)."""
+        for after_ms in range(500, 3_000, 100):
+            with self.subTest(after_ms=after_ms):
+                fleet = await self.start_fleet([3, 3, 2])
+                fleet.store.put(ENDPOINT_KEY, b"")
+                await fleet.clock.advance(CONTACT_MS)
+                cut = fleet.list_watchers()[:2]
+                for instance in cut:
+                    instance.store.access.refuses = True
+                await fleet.clock.advance(after_ms)
+                fleet.store.delete(ENDPOINT_KEY)
+                await fleet.clock.advance(DRAIN_MS)
+                users = {one.id for one in fleet.instances if one.endpoints.usable(SERVICE)}
+                self.assertEqual(users - {one.id for one in cut}, set())
+                await fleet.stop()
+
     async def test_one_watcher_that_the_store_failed_makes_others_keep_endpoints(self) -> None:
         _, taken_over = await self.remove_with_outage_at(1)
         self.assertEqual(taken_over, [])
